Add workspace, design page, ports and shared value types

The repository was empty. This commit sets up the Maven workspace with formatter and linter in the build, the design page, the Thrift messages between daemons with their generated code, and the interfaces that the modules share.

--- /dev/null
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/json/package-info.java
@@ -0,0 +1,2 @@
+/** JSON form of the values of the core. */
+package org.lavenderwick.adapters.json;
--- /dev/null
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/platform/package-info.java
@@ -0,0 +1,2 @@
+/** The port to the platform's key-value service and its adapter over HTTP. */
+package org.lavenderwick.adapters.platform;
--- /dev/null
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/error/package-info.java
@@ -0,0 +1,2 @@
+/** The closed list of error kinds and the failure value that carries one. */
+package org.lavenderwick.core.error;
--- /dev/null
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/model/DaemonName.java
@@ -0,0 +1,31 @@
+package org.lavenderwick.core.model;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * Name of a daemon, unique in the fleet.
+ *
+ * @param value the name as operators write it; never blank
+ */
+public record DaemonName(String value) implements Comparable<DaemonName> {
+
+    /** Checks that the name is not blank. */
+    public DaemonName {
+        checkArgument(!value.isBlank(), "name is blank");
+    }
+
+    /** Returns the name with the given text. */
+    public static DaemonName of(String value) {
+        return new DaemonName(value);
+    }
+
+    @Override
+    public int compareTo(DaemonName other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/model/EndpointName.java
@@ -0,0 +1,31 @@
+package org.lavenderwick.core.model;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * Name of one endpoint of a database group.
+ *
+ * @param value the name as operators write it; never blank
+ */
+public record EndpointName(String value) implements Comparable<EndpointName> {
+
+    /** Checks that the name is not blank. */
+    public EndpointName {
+        checkArgument(!value.isBlank(), "name is blank");
+    }
+
+    /** Returns the name with the given text. */
+    public static EndpointName of(String value) {
+        return new EndpointName(value);
+    }
+
+    @Override
+    public int compareTo(EndpointName other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/model/GroupName.java
@@ -0,0 +1,31 @@
+package org.lavenderwick.core.model;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * Name of a database group: one database with its primary and replicas.
+ *
+ * @param value the name as operators write it; never blank
+ */
+public record GroupName(String value) implements Comparable<GroupName> {
+
+    /** Checks that the name is not blank. */
+    public GroupName {
+        checkArgument(!value.isBlank(), "name is blank");
+    }
+
+    /** Returns the name with the given text. */
+    public static GroupName of(String value) {
+        return new GroupName(value);
+    }
+
+    @Override
+    public int compareTo(GroupName other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/model/LogPoint.java
@@ -0,0 +1,45 @@
+package org.lavenderwick.core.model;
+
+import java.util.Comparator;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * A position in the log of a database group. Points are ordered by term, then by position.
+ *
+ * @param term the term in which the entry at the position was written
+ * @param position number of entries up to and including this one; positions go on across terms
+ */
+public record LogPoint(Term term, long position) implements Comparable<LogPoint> {
+
+    /** The point before the first entry. */
+    public static final LogPoint START = new LogPoint(Term.NONE, 0);
+
+    private static final Comparator<LogPoint> ORDER =
+            Comparator.comparing(LogPoint::term).thenComparingLong(LogPoint::position);
+
+    /** Checks that the position is not negative. */
+    public LogPoint {
+        checkArgument(position >= 0, "position is negative: %s", position);
+    }
+
+    /** Returns the point at the given term and position. */
+    public static LogPoint of(long term, long position) {
+        return new LogPoint(Term.of(term), position);
+    }
+
+    /** Returns the later of two points. */
+    public static LogPoint max(LogPoint first, LogPoint second) {
+        return first.compareTo(second) >= 0 ? first : second;
+    }
+
+    @Override
+    public int compareTo(LogPoint other) {
+        return ORDER.compare(this, other);
+    }
+
+    @Override
+    public String toString() {
+        return term + ":" + position;
+    }
+}
--- /dev/null
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/time/package-info.java
@@ -0,0 +1,2 @@
+/** Clocks, passed in so that tests control time. */
+package org.lavenderwick.core.time;
