--- a/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/endpoint/EndpointMessages.java
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/endpoint/EndpointMessages.java
@@ -2,7 +2,11 @@
 
 import java.util.Optional;
 
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.cfg.JsonNodeFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import org.lavenderwick.adapters.json.JsonMappers;
 import org.lavenderwick.core.model.GroupName;
 import org.lavenderwick.core.model.LogPoint;
 import org.lavenderwick.core.model.Term;
@@ -12,6 +16,16 @@
 
     private EndpointMessages() {}
 
+    /** Returns a mapper for these messages that keeps all digits of numbers in statements and results. */
+    public static JsonMapper createMapper() {
+        return JsonMappers.create()
+                .rebuild()
+                .enable(DeserializationFeature.USE_BIG_DECIMAL_FOR_FLOATS)
+                .disable(JsonNodeFeature.STRIP_TRAILING_BIGDECIMAL_ZEROES)
+                .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                .build();
+    }
+
     /**
      * Body of {@code POST /connect}, the first request on a TCP connection.
      *
--- a/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/endpoint/HttpEndpointPort.java
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/endpoint/HttpEndpointPort.java
@@ -7,8 +7,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 
-import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.cfg.JsonNodeFeature;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.google.common.net.HostAndPort;
 import io.vavr.control.Either;
@@ -23,7 +21,6 @@
 import org.eclipse.jetty.util.thread.Scheduler;
 import org.lavenderwick.adapters.endpoint.EndpointMessages.ConnectAnswer;
 import org.lavenderwick.adapters.endpoint.EndpointMessages.ConnectRequest;
-import org.lavenderwick.adapters.json.JsonMappers;
 import org.lavenderwick.core.configuration.EndpointSettings;
 import org.lavenderwick.core.error.ErrorKind;
 import org.lavenderwick.core.error.Failure;
@@ -77,17 +74,7 @@
         }
         client.getContentDecoderFactories().clear();
         client.getProtocolHandlers().clear();
-        return new HttpEndpointPort(client, exactNumbers());
-    }
-
-    /** Returns a mapper that keeps all digits of numbers in statements and results. */
-    private static JsonMapper exactNumbers() {
-        return JsonMappers.create()
-                .rebuild()
-                .enable(DeserializationFeature.USE_BIG_DECIMAL_FOR_FLOATS)
-                .disable(JsonNodeFeature.STRIP_TRAILING_BIGDECIMAL_ZEROES)
-                .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
-                .build();
+        return new HttpEndpointPort(client, EndpointMessages.createMapper());
     }
 
     @Override
--- /dev/null
+++ b/lavenderwick-standins/src/main/java/org/lavenderwick/standins/StandinExchange.java
@@ -0,0 +1,164 @@
+package org.lavenderwick.standins;
+
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Fields;
+
+/** One HTTP request at a stand-in, with the ways in which its answer can go wrong. At most one ending takes effect. */
+final class StandinExchange {
+
+    /** The socket of a request without answer is given back after this time, as clients have long given up. */
+    private static final Duration SILENT_SOCKET_EXPIRY = Duration.ofMinutes(2);
+
+    /** Loopback addresses carry the block of the failure domain in their third byte, as in 127.0.2.10. */
+    private static final int BLOCK_BYTE = 2;
+
+    private final StandinRuntime runtime;
+    private final Request request;
+    private final Response response;
+    private final Callback callback;
+    private final AtomicBoolean ended = new AtomicBoolean();
+
+    StandinExchange(StandinRuntime runtime, Request request, Response response, Callback callback) {
+        this.runtime = runtime;
+        this.request = request;
+        this.response = response;
+        this.callback = callback;
+    }
+
+    String method() {
+        return request.getMethod();
+    }
+
+    /** Returns the path as sent, still percent-encoded. */
+    String path() {
+        return request.getHttpURI().getPath();
+    }
+
+    Fields query() {
+        return Request.extractQueryParameters(request);
+    }
+
+    Connection connection() {
+        return request.getConnectionMetaData().getConnection();
+    }
+
+    String sourceAddress() {
+        SocketAddress remote = request.getConnectionMetaData().getRemoteSocketAddress();
+        return remote instanceof InetSocketAddress inet ? inet.getAddress().getHostAddress() : remote.toString();
+    }
+
+    /** Returns n of a source address 127.0.n.x. */
+    int sourceBlock() {
+        SocketAddress remote = request.getConnectionMetaData().getRemoteSocketAddress();
+        return remote instanceof InetSocketAddress inet ? block(inet) : 0;
+    }
+
+    static int block(InetSocketAddress address) {
+        return address.getAddress().getAddress()[BLOCK_BYTE] & 0xff;
+    }
+
+    CompletableFuture<byte[]> body(int maxBytes) {
+        return Content.Source.asByteArrayAsync(request, maxBytes);
+    }
+
+    /** Answers with a JSON body, or without body if it is null. */
+    void answer(int status, Object body) {
+        answer(status, body, Callback.NOOP);
+    }
+
+    private void answer(int status, Object body, Callback after) {
+        if (!ended.compareAndSet(false, true)) {
+            return;
+        }
+        byte[] bytes = json(body);
+        response.setStatus(status);
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+        response.getHeaders().put(HttpHeader.CONTENT_LENGTH, bytes.length);
+        response.write(true, ByteBuffer.wrap(bytes), Callback.from(callback, Callback.from(after::succeeded)));
+    }
+
+    /** Answers, and sends another answer on the same connection before it. */
+    void answerAfterStray(int status, Object stray, Object body) {
+        connection()
+                .getEndPoint()
+                .write(Callback.from(() -> answer(status, body), failure -> disconnect()), rawAnswer(json(stray)));
+    }
+
+    /** Answers, and sends another answer on the same connection after it. */
+    void answerBeforeStray(int status, Object body, Object stray) {
+        byte[] bytes = json(stray);
+        EndPoint endPoint = connection().getEndPoint();
+        answer(
+                status,
+                body,
+                Callback.from(() -> runtime.execute(() -> {
+                    try {
+                        endPoint.write(Callback.NOOP, rawAnswer(bytes));
+                    } catch (RuntimeException e) {
+                        // The connection already writes the answer to the next request; the fault has lost its chance.
+                        endPoint.close();
+                    }
+                })));
+    }
+
+    /** Sends the head and the first half of an answer, then closes the connection. */
+    void answerCutShort(Object body) {
+        if (!ended.compareAndSet(false, true)) {
+            return;
+        }
+        byte[] bytes = json(body);
+        ByteBuffer whole = rawAnswer(bytes);
+        whole.limit(whole.limit() - (bytes.length + 1) / 2);
+        EndPoint endPoint = connection().getEndPoint();
+        endPoint.write(Callback.from(endPoint::close, failure -> endPoint.close()), whole);
+    }
+
+    /** Never answers. */
+    void silence() {
+        if (ended.compareAndSet(false, true)) {
+            EndPoint endPoint = connection().getEndPoint();
+            runtime.timer().schedule(() -> endPoint.close(), SILENT_SOCKET_EXPIRY.toMillis(), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Closes the connection without answer. */
+    void disconnect() {
+        if (ended.compareAndSet(false, true)) {
+            connection().getEndPoint().close();
+        }
+    }
+
+    private byte[] json(Object body) {
+        try {
+            return body == null ? new byte[0] : runtime.mapper().writeValueAsBytes(body);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("an answer has no JSON form", e);
+        }
+    }
+
+    private static ByteBuffer rawAnswer(byte[] body) {
+        byte[] head = ("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + body.length
+                        + "\r\n\r\n")
+                .getBytes(StandardCharsets.US_ASCII);
+        return ByteBuffer.allocate(head.length + body.length)
+                .put(head)
+                .put(body)
+                .flip();
+    }
+}
--- /dev/null
+++ b/lavenderwick-standins/src/main/java/org/lavenderwick/standins/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for the platform and for the endpoints of database groups, with injected faults. */
+package org.lavenderwick.standins;
