--- /dev/null
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/billing/UnlimitedSpending.java
@@ -0,0 +1,27 @@
+package org.lavenderwick.core.billing;
+
+import java.time.Instant;
+
+/** The baseline: holds nothing back. */
+public final class UnlimitedSpending implements SpendingPolicy {
+
+    private UnlimitedSpending() {}
+
+    /** Returns the policy. */
+    public static UnlimitedSpending create() {
+        return new UnlimitedSpending();
+    }
+
+    @Override
+    public boolean mayOpen(PaidLevel paid, MinuteUsage current, int open, Demand demand, Instant now) {
+        return true;
+    }
+
+    @Override
+    public boolean mayStart(PaidLevel paid, MinuteUsage current, Demand demand, Instant now) {
+        return true;
+    }
+
+    @Override
+    public void started(Demand demand, Instant now) {}
+}
--- /dev/null
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/connections/Purpose.java
@@ -0,0 +1,9 @@
+package org.lavenderwick.core.connections;
+
+/** What a connection is used for. */
+public enum Purpose {
+    /** Status, seal and promote calls. One connection of each share is kept for them. */
+    CONTROL,
+    /** Statements of callers. */
+    TRAFFIC
+}
--- /dev/null
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/connections/package-info.java
@@ -0,0 +1,2 @@
+/** Connections to endpoints: shares per owner and the state of the pools. */
+package org.lavenderwick.core.connections;
--- /dev/null
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/routing/ReadRouting.java
@@ -0,0 +1,11 @@
+package org.lavenderwick.core.routing;
+
+import java.util.Collection;
+import java.util.random.RandomGenerator;
+
+/** Chooses the endpoint that answers a read. Implementations are stateless and thread-safe. */
+public interface ReadRouting {
+
+    /** Chooses among the endpoints of the group. Linear in their number. */
+    Route choose(Collection<EndpointView> endpoints, ReadNeeds needs, RandomGenerator random);
+}
--- /dev/null
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of the endpoint that answers a read. */
+package org.lavenderwick.core.routing;
