--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/admission/ConcurrencyLimit.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/admission/ConcurrencyLimit.java
@@ -12,7 +12,7 @@
      * Records an answer.
      *
      * @param latency time from sending the request to its answer
-     * @param inFlight number of requests in flight on the endpoint when this one was sent, itself included
+     * @param inFlight number of requests under this limit in flight when this one was sent, itself included
      */
     void answered(Duration latency, int inFlight);
 
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/billing/SpendingPolicy.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/billing/SpendingPolicy.java
@@ -6,7 +6,7 @@
 public interface SpendingPolicy {
 
     /**
-     * Returns whether a connection may be opened for waiting work.
+     * Returns whether a connection may be opened for waiting work. The caller opens one if the answer is yes.
      *
      * @param paid the level already paid for
      * @param current usage of the running minute so far
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/connections/ConnectionPoolState.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/connections/ConnectionPoolState.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 
 import static com.google.common.base.Preconditions.checkArgument;
@@ -83,10 +84,10 @@
      * Decides what a request does that needs a connection.
      *
      * @param purpose what the connection is for
-     * @param mayOpen whether the spending policy lets another connection be opened
+     * @param mayOpen whether the spending policy lets another connection be opened; asked only if one would be opened
      * @param now monotonic time
      */
-    public PoolDecision acquire(Purpose purpose, boolean mayOpen, Duration now) {
+    public PoolDecision acquire(Purpose purpose, BooleanSupplier mayOpen, Duration now) {
         Optional<Connection> idle = purpose == Purpose.CONTROL
                 ? control.filter(connection -> connection.phase == Phase.IDLE)
                 : Optional.ofNullable(idleTraffic.pollFirst());
@@ -95,13 +96,13 @@
             connection.phase = Phase.IN_USE;
             return new PoolDecision.Use(connection.id, needsCheck(connection, now));
         }
-        if (!mayOpen || opening.isPresent() || !hasRoom(purpose)) {
+        if (opening.isPresent() || !hasRoom(purpose)) {
             return new PoolDecision.Wait(Optional.empty());
         }
         if (!backoff.allows(now)) {
             return new PoolDecision.Wait(Optional.of(backoff.retryAt()));
         }
-        return startOpen(purpose);
+        return mayOpen.getAsBoolean() ? startOpen(purpose) : new PoolDecision.Wait(Optional.empty());
     }
 
     /** Returns a connection to open ahead of demand, if the sizing asks for one and it may be opened now. */
