--- a/lavenderwick-standins/src/main/java/org/lavenderwick/standins/StandinFleet.java
+++ b/lavenderwick-standins/src/main/java/org/lavenderwick/standins/StandinFleet.java
@@ -3,10 +3,13 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.json.JsonMapper;
@@ -112,6 +115,24 @@
         return List.copyOf(endpoints.values());
     }
 
+    /**
+     * Cuts failure domains off: nothing passes between their addresses and the platform or the endpoints elsewhere.
+     * Connections that crossed the cut stay silent when it ends. Links between daemons are not covered.
+     */
+    public void cutOff(Set<FailureDomain> domains) {
+        Set<Integer> inside = domains.stream().map(this::block).collect(Collectors.toUnmodifiableSet());
+        Set<Integer> outside = new HashSet<>(blocks.values());
+        outside.removeAll(inside);
+        endpoints.forEach((name, endpoint) ->
+                endpoint.silentBlocks(inside.contains(block(failureDomain(name))) ? outside : inside));
+        platform.faults(platform.faults().withSilentBlocks(inside));
+    }
+
+    /** Ends a cut. */
+    public void reconnect() {
+        cutOff(Set.of());
+    }
+
     /** Writes the configuration of this fleet to the platform, if there is none yet. */
     public void publishConfiguration() {
         platform.compareAndSwap("configuration/current", json(configuration), PlatformPort.ABSENT);
@@ -148,6 +169,14 @@
         return new GroupSettings(group.name(), group.service(), started);
     }
 
+    private FailureDomain failureDomain(EndpointName name) {
+        return configuration.groups().values().stream()
+                .flatMap(group -> group.endpoint(name).stream())
+                .findFirst()
+                .orElseThrow()
+                .failureDomain();
+    }
+
     private static EndpointSettings withAddress(EndpointSettings endpoint, String address) {
         return new EndpointSettings(
                 endpoint.name(), endpoint.failureDomain(), address, endpoint.connectionLimit(), endpoint.slots());
