--- a/lavenderwick-standins/src/main/java/org/lavenderwick/standins/EndpointServer.java
+++ b/lavenderwick-standins/src/main/java/org/lavenderwick/standins/EndpointServer.java
@@ -314,7 +314,7 @@
         ExecuteAnswer stray = new ExecuteAnswer(
                 "stray-" + UUID.randomUUID(), answer.outcome(), answer.results(), answer.detail(), answer.status());
         switch (fault.get()) {
-            case LOST -> exchange.silence();
+            case LOST -> exchange.loseAnswer();
             case DISCONNECTED -> exchange.disconnect();
             case CUT_SHORT -> exchange.answerCutShort(answer);
             case STRAY_BEFORE -> exchange.answerAfterStray(HttpStatus.OK_200, stray, answer);
@@ -325,13 +325,13 @@
 
     private void answer(StandinExchange exchange, Object answer) {
         runtime.schedule(
-                () -> {
+                () -> gate.run(() -> {
                     if (silent(exchange)) {
                         exchange.silence();
                     } else {
                         exchange.answer(HttpStatus.OK_200, answer);
                     }
-                },
+                }),
                 answerDelay);
     }
 
@@ -354,8 +354,11 @@
     private final class CloseListener implements Connection.Listener {
         @Override
         public void onClosed(Connection connection) {
-            silentConnections.remove(connection);
-            closed(connection);
+            // A paused process learns of the end only when it goes on.
+            gate.run(() -> {
+                silentConnections.remove(connection);
+                closed(connection);
+            });
         }
     }
 }
--- a/lavenderwick-standins/src/main/java/org/lavenderwick/standins/GroupEmulator.java
+++ b/lavenderwick-standins/src/main/java/org/lavenderwick/standins/GroupEmulator.java
@@ -142,6 +142,9 @@
     synchronized void execute(
             EndpointName endpoint, EndpointSession session, ExecuteRequest request, Consumer<ExecuteAnswer> receiver) {
         Replica replica = replica(endpoint);
+        if (!replica.alive()) {
+            return;
+        }
         RequestRunner.Work work = new RequestRunner.Work(session, request);
         Optional<ExecuteAnswer> answer = runner.attempt(replica, work);
         if (answer.isPresent()) {
@@ -153,6 +156,10 @@
         }
         Waiting entry = new Waiting(work, receiver);
         waiting.get(endpoint).add(entry);
+        scheduleExpiry(replica, entry);
+    }
+
+    private void scheduleExpiry(Replica replica, Waiting entry) {
         runtime.timer()
                 .schedule(() -> expire(replica, entry), options.lockTimeout().toNanos(), TimeUnit.NANOSECONDS);
     }
@@ -272,7 +279,9 @@
     }
 
     private synchronized void expire(Replica replica, Waiting entry) {
-        if (waiting.get(replica.name()).remove(entry)) {
+        if (replica.paused()) {
+            scheduleExpiry(replica, entry);
+        } else if (waiting.get(replica.name()).remove(entry)) {
             String detail = "The wait for a row lock timed out.";
             if (entry.work().request().step() != TransactionStep.SINGLE) {
                 runner.rollBack(replica, entry.work().session(), detail);
--- a/lavenderwick-standins/src/main/java/org/lavenderwick/standins/PlatformServer.java
+++ b/lavenderwick-standins/src/main/java/org/lavenderwick/standins/PlatformServer.java
@@ -232,7 +232,7 @@
 
     private void answerWrite(StandinExchange exchange, int status, Object answer, PlatformFaults current) {
         if (happens(current.lostAnswers())) {
-            exchange.silence();
+            exchange.loseAnswer();
         } else {
             exchange.answer(status, answer);
         }
--- a/lavenderwick-standins/src/main/java/org/lavenderwick/standins/Replica.java
+++ b/lavenderwick-standins/src/main/java/org/lavenderwick/standins/Replica.java
@@ -237,6 +237,10 @@
         alive = changed;
     }
 
+    boolean paused() {
+        return paused;
+    }
+
     void paused(boolean changed) {
         paused = changed;
     }
--- a/lavenderwick-standins/src/main/java/org/lavenderwick/standins/StandinExchange.java
+++ b/lavenderwick-standins/src/main/java/org/lavenderwick/standins/StandinExchange.java
@@ -1,5 +1,6 @@
 package org.lavenderwick.standins;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.ByteBuffer;
@@ -25,6 +26,8 @@
     /** The socket of a request without answer is given back after this time, as clients have long given up. */
     private static final Duration SILENT_SOCKET_EXPIRY = Duration.ofMinutes(2);
 
+    private static final int DRAIN_BYTES = 4096;
+
     /** Loopback addresses carry the block of the failure domain in their third byte, as in 127.0.2.10. */
     private static final int BLOCK_BYTE = 2;
 
@@ -129,7 +132,7 @@
         endPoint.write(Callback.from(endPoint::close, failure -> endPoint.close()), whole);
     }
 
-    /** Never answers. */
+    /** Never answers, and does not notice when the client closes the connection, as behind a dead link. */
     void silence() {
         if (ended.compareAndSet(false, true)) {
             EndPoint endPoint = connection().getEndPoint();
@@ -137,6 +140,41 @@
         }
     }
 
+    /** Never answers, but closes the connection as soon as the client does. */
+    void loseAnswer() {
+        if (ended.compareAndSet(false, true)) {
+            awaitClose(connection().getEndPoint());
+        }
+    }
+
+    /** The server does not read from a connection while a request is under way, so this method may. */
+    private static void awaitClose(EndPoint endPoint) {
+        endPoint.fillInterested(Callback.from(
+                () -> {
+                    if (drained(endPoint)) {
+                        endPoint.close();
+                    } else {
+                        awaitClose(endPoint);
+                    }
+                },
+                failure -> endPoint.close()));
+    }
+
+    /** Drops what has arrived and returns whether the client has closed the connection. */
+    private static boolean drained(EndPoint endPoint) {
+        ByteBuffer buffer = ByteBuffer.allocate(DRAIN_BYTES).limit(0);
+        try {
+            int count = endPoint.fill(buffer);
+            while (count > 0) {
+                buffer.limit(0);
+                count = endPoint.fill(buffer);
+            }
+            return count < 0;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
     /** Closes the connection without answer. */
     void disconnect() {
         if (ended.compareAndSet(false, true)) {
--- a/lavenderwick-standins/src/main/java/org/lavenderwick/standins/StandinFleet.java
+++ b/lavenderwick-standins/src/main/java/org/lavenderwick/standins/StandinFleet.java
@@ -52,8 +52,13 @@
         this.platform = PlatformServer.start(
                 runtime, PLATFORM_HOST, options.platformPort(), options.monotonicClock(), options.hostLag());
         Map<GroupName, GroupSettings> started = new LinkedHashMap<>();
-        for (GroupSettings group : template.groups().values()) {
-            started.put(group.name(), startGroup(placed(group), options));
+        try {
+            for (GroupSettings group : template.groups().values()) {
+                started.put(group.name(), startGroup(placed(group), options));
+            }
+        } catch (RuntimeException e) {
+            close();
+            throw e;
         }
         this.configuration = new Configuration(
                 template.version(), template.services(), started, template.plannedStops(), template.sessionKeys());
@@ -163,7 +168,7 @@
         List<EndpointSettings> started = new ArrayList<>();
         for (EndpointSettings endpoint : group.endpoints()) {
             EndpointServer server = EndpointServer.start(endpoint, emulator, options.endpoints(), runtime);
-            endpoints.put(endpoint.name(), server);
+            checkArgument(endpoints.put(endpoint.name(), server) == null, "two endpoints %s", endpoint.name());
             started.add(withAddress(endpoint, server.address()));
         }
         return new GroupSettings(group.name(), group.service(), started);
--- a/lavenderwick-standins/src/test/java/org/lavenderwick/standins/EndpointServerTest.java
+++ b/lavenderwick-standins/src/test/java/org/lavenderwick/standins/EndpointServerTest.java
@@ -93,6 +93,17 @@
             return client.send(request, HttpResponse.BodyHandlers.ofString());
         }
 
+        /** Guards against a transaction that keeps its locks after its client gave up a lost answer. */
+        @Test
+        void closeIsNoticedAfterALostAnswer() throws Exception {
+            EndpointConnection connection = fleet.connect(FIRST);
+            fleet.endpoint(FIRST).injectAnswerFault(AnswerFault.LOST, 1);
+            await(fleet.write(ADD).step(TransactionStep.BEGIN).start(connection, SHORT));
+
+            until(() -> fleet.endpoint(FIRST).connections() == 0);
+            assertThat(fleet.endpoint(FIRST).status().openTransactions()).isZero();
+        }
+
         /** Guards against a partition that spares old or new connections, or that hits other blocks. */
         @Test
         void partitionedBlockIsSilentForOldAndNewConnections() {
@@ -350,6 +361,9 @@
             assertThat(outcome(fleet.write(ADD).on(old))).isEqualTo(EndpointOutcome.NOT_PRIMARY);
             assertThat(outcome(fleet.read(GET).minimumPoint(1, 2).on(old))).isEqualTo(EndpointOutcome.WRITE_LOST);
             assertThat(fleet.events(HistoryEvent.Truncated.class)).hasSize(1);
+            await(old.promote(Term.of(3), 2, PATIENCE));
+            fleet.write("[{'op':'put','key':'b','value':2}]").term(3).key("k").on(old);
+            assertThat(fleet.value(FIRST, "b")).contains("2");
         }
     }
 
@@ -384,7 +398,6 @@
             var before = fleet.endpoint(SECOND).status().pointTime();
             until(() -> fleet.endpoint(SECOND).status().pointTime().isAfter(before));
             await(fleet.connect(SECOND).seal(Term.of(2), PATIENCE));
-            fleet.endpoint(THIRD).status();
             fleet.endpoint(FIRST).kill();
 
             var sealed = fleet.endpoint(SECOND).status().pointTime();
