Add fault controls over HTTP and a recorder for the history checker

Writes now say whether the endpoint committed them as primary, and a promotion reports the start of its term, which the checker of histories needs. A test opens and closes 50 endpoint connections and finds one client destination.

--- a/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/endpoint/HttpEndpointPort.java
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/endpoint/HttpEndpointPort.java
@@ -98,6 +98,11 @@
         return attempt.future;
     }
 
+    /** Returns the number of destinations that the client keeps. */
+    int destinations() {
+        return client.getDestinations().size();
+    }
+
     @Override
     public void close() {
         try {
--- a/lavenderwick-standins/src/main/java/org/lavenderwick/standins/GroupEmulator.java
+++ b/lavenderwick-standins/src/main/java/org/lavenderwick/standins/GroupEmulator.java
@@ -132,6 +132,7 @@
             replica.promise(term.number(), clock.instant());
             replica.beginTerm(term.number(), start);
             replica.primary(true);
+            history.record(new HistoryEvent.TermBegan(clock.instant(), name, endpoint, term, start));
             recordTerm(replica);
             retryWaiting(replica);
         }
@@ -236,7 +237,7 @@
         boolean truncated = truncate(replica, replica.commonPosition(primary));
         Optional<LogEntry> applied = replica.applyNext(primary, horizon);
         while (applied.isPresent()) {
-            runner.recordWrites(replica, applied.get());
+            runner.recordWrites(replica, applied.get(), false);
             applied = replica.applyNext(primary, horizon);
         }
         replica.adoptHistory(primary, horizon, truncated);
--- a/lavenderwick-standins/src/main/java/org/lavenderwick/standins/HistoryEvent.java
+++ b/lavenderwick-standins/src/main/java/org/lavenderwick/standins/HistoryEvent.java
@@ -30,9 +30,28 @@
      * @param point point of the log entry that holds the write
      * @param key key that was written
      * @param value the new value
+     * @param committed whether the endpoint committed it as primary; false if it took it from its primary
      */
     record WriteApplied(
-            Instant time, GroupName group, EndpointName endpoint, LogPoint point, String key, JsonNode value)
+            Instant time,
+            GroupName group,
+            EndpointName endpoint,
+            LogPoint point,
+            String key,
+            JsonNode value,
+            boolean committed)
+            implements HistoryEvent {}
+
+    /**
+     * The endpoint became the primary of a term after the first one.
+     *
+     * @param time time on the clock of the endpoint
+     * @param group the database group
+     * @param endpoint the endpoint
+     * @param term the term
+     * @param startPosition position of the last entry that the term keeps
+     */
+    record TermBegan(Instant time, GroupName group, EndpointName endpoint, Term term, long startPosition)
             implements HistoryEvent {}
 
     /**
--- a/lavenderwick-standins/src/main/java/org/lavenderwick/standins/RequestRunner.java
+++ b/lavenderwick-standins/src/main/java/org/lavenderwick/standins/RequestRunner.java
@@ -238,18 +238,18 @@
             LogEntry entry = new LogEntry(
                     replica.term(), replica.position() + 1, now, changes, request.idempotencyKey(), results);
             replica.append(entry);
-            recordWrites(replica, entry);
+            recordWrites(replica, entry, true);
         }
         history.record(new HistoryEvent.Committed(
                 now, group, replica.name(), replica.point(), request.requestId(), request.idempotencyKey(), results));
     }
 
-    /** Reports the writes of an entry that the endpoint has just applied. */
-    void recordWrites(Replica replica, LogEntry entry) {
+    /** Reports the writes of an entry that the endpoint has just committed, or taken from its primary. */
+    void recordWrites(Replica replica, LogEntry entry, boolean committed) {
         LogPoint point = LogPoint.of(entry.term(), entry.position());
         for (LogEntry.Change change : entry.changes()) {
             history.record(new HistoryEvent.WriteApplied(
-                    clock.instant(), group, replica.name(), point, change.key(), change.after()));
+                    clock.instant(), group, replica.name(), point, change.key(), change.after(), committed));
         }
     }
 }
--- a/lavenderwick-standins/src/main/java/org/lavenderwick/standins/StandinFleet.java
+++ b/lavenderwick-standins/src/main/java/org/lavenderwick/standins/StandinFleet.java
@@ -45,6 +45,7 @@
     private final Map<FailureDomain, Integer> blocks;
     private final Map<GroupName, GroupEmulator> groups = new LinkedHashMap<>();
     private final Map<EndpointName, EndpointServer> endpoints = new LinkedHashMap<>();
+    private FleetControl control;
 
     private StandinFleet(Configuration template, Options options) {
         this.runtime = StandinRuntime.start();
@@ -63,6 +64,7 @@
         this.configuration = new Configuration(
                 template.version(), template.services(), started, template.plannedStops(), template.sessionKeys());
         started.values().forEach(this::writeFirstRecord);
+        this.control = new FleetControl(this, runtime, PLATFORM_HOST);
     }
 
     /**
@@ -92,6 +94,14 @@
         return configuration;
     }
 
+    /**
+     * Returns IP address and port of the fault controls of the endpoints: {@code GET /endpoints}, {@code POST
+     * /endpoints/{name}/faults} and {@code POST /cut}. The platform has a control port of its own.
+     */
+    public String controlAddress() {
+        return control.address();
+    }
+
     /** Returns the platform. */
     public PlatformServer platform() {
         return platform;
@@ -145,6 +155,9 @@
 
     @Override
     public void close() {
+        if (control != null) {
+            control.close();
+        }
         endpoints.values().forEach(EndpointServer::close);
         groups.values().forEach(GroupEmulator::close);
         platform.close();
