--- /dev/null
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon {@code lavenderwickd}. */
+package org.lavenderwick.daemon;
--- /dev/null
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/peer/PeerFailure.java
@@ -0,0 +1,9 @@
+package org.lavenderwick.daemon.peer;
+
+/** Why a call to a peer has no answer. */
+public enum PeerFailure {
+    /** Nothing was sent and nothing will be. */
+    NOT_SENT,
+    /** The call was sent, at least in part, and no answer came in time. */
+    NO_ANSWER
+}
