--- /dev/null
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/EndpointLink.java
@@ -0,0 +1,313 @@
+package org.lavenderwick.daemon.group;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+import io.vavr.control.Either;
+import org.jboss.logging.Logger;
+import org.lavenderwick.adapters.endpoint.EndpointConnection;
+import org.lavenderwick.adapters.endpoint.EndpointPort;
+import org.lavenderwick.adapters.endpoint.EndpointStatus;
+import org.lavenderwick.core.configuration.EndpointSettings;
+import org.lavenderwick.core.connections.ConnectionPoolState;
+import org.lavenderwick.core.connections.PoolDecision;
+import org.lavenderwick.core.connections.Purpose;
+import org.lavenderwick.core.connections.ReleaseState;
+import org.lavenderwick.core.error.ErrorKind;
+import org.lavenderwick.core.error.Failure;
+
+/**
+ * The connections of an owner to one endpoint. Performs what {@link ConnectionPoolState} decides. Confined to the event
+ * loop of the group.
+ */
+final class EndpointLink {
+    /** Time to open a connection; an open takes about 12 ms. */
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+
+    /** Time for the check of an idle connection, a round trip without work. */
+    private static final Duration CHECK_TIMEOUT = Duration.ofMillis(300);
+
+    /** Time during which an endpoint that could not be reached gets no work. */
+    private static final Duration UNREACHABLE_FOR = Duration.ofMillis(500);
+
+    private static final Logger LOG = Logger.getLogger(EndpointLink.class);
+
+    private final EndpointSettings settings;
+    private final EndpointPort port;
+    private final ConnectionPoolState pool;
+    private final EventLoop loop;
+    private final InstantSource wallClock;
+    private final LinkEvents events;
+    private final Map<Long, EndpointConnection> connections = new HashMap<>();
+    private final Set<Long> trafficIds = new HashSet<>();
+    private final Map<Purpose, Deque<Consumer<Either<Failure, Long>>>> waiters =
+            Map.of(Purpose.CONTROL, new ArrayDeque<>(), Purpose.TRAFFIC, new ArrayDeque<>());
+    private Optional<EndpointStatus> lastStatus = Optional.empty();
+    private Instant observed = Instant.EPOCH;
+    private Duration unreachableUntil = Duration.ZERO;
+    private boolean closed;
+
+    EndpointLink(
+            EndpointSettings settings,
+            EndpointPort port,
+            ConnectionPoolState pool,
+            EventLoop loop,
+            InstantSource wallClock,
+            LinkEvents events) {
+        this.settings = settings;
+        this.port = port;
+        this.pool = pool;
+        this.loop = loop;
+        this.wallClock = wallClock;
+        this.events = events;
+    }
+
+    EndpointSettings settings() {
+        return settings;
+    }
+
+    ConnectionPoolState pool() {
+        return pool;
+    }
+
+    Optional<EndpointStatus> lastStatus() {
+        return lastStatus;
+    }
+
+    /** Returns the wall time of the last answer. */
+    Instant observed() {
+        return observed;
+    }
+
+    boolean reachable() {
+        return loop.now().compareTo(unreachableUntil) >= 0;
+    }
+
+    /** Returns the number of traffic connections open or being opened. */
+    int trafficConnections() {
+        return trafficIds.size();
+    }
+
+    /** Returns whether a traffic connection is idle that nobody waits for. */
+    boolean hasIdleConnection() {
+        return pool.idle() > waiters.get(Purpose.TRAFFIC).size();
+    }
+
+    /** Returns whether one more request may wait for a new connection: one opens at a time. */
+    boolean mayOpenForTraffic() {
+        return waiters.get(Purpose.TRAFFIC).isEmpty()
+                && pool.open() < pool.share()
+                && !closed;
+    }
+
+    /** Gives a traffic connection to the consumer, or a failure if none can be had; nothing was sent then. */
+    void acquire(Consumer<Either<Failure, Long>> consumer) {
+        acquire(Purpose.TRAFFIC, consumer);
+    }
+
+    EndpointConnection connection(long id) {
+        return connections.get(id);
+    }
+
+    /** Takes a connection back. */
+    void release(long id, ReleaseState state) {
+        if (state == ReleaseState.TIMED_OUT || state == ReleaseState.BROKEN) {
+            LOG.debugf("[endpoint] %s: connection %d ends as %s.", settings.name(), id, state);
+        }
+        if (!pool.release(id, state, loop.now())) {
+            closeConnection(id);
+        }
+        serveWaiters();
+    }
+
+    /** Makes a control call and hands its status to the consumer and to the events. */
+    void control(
+            Function<EndpointConnection, CompletableFuture<Either<Failure, EndpointStatus>>> call,
+            Consumer<Either<Failure, EndpointStatus>> consumer) {
+        acquire(Purpose.CONTROL, acquired -> {
+            if (acquired.isLeft()) {
+                consumer.accept(Either.left(acquired.getLeft()));
+                return;
+            }
+            long id = acquired.get();
+            Duration askedAt = loop.now();
+            loop.deliver(call.apply(connections.get(id)), answer -> {
+                if (answer.isRight()) {
+                    statusSeen(answer.get(), askedAt);
+                } else {
+                    markUnreachable();
+                }
+                release(id, answer.isRight() ? ReleaseState.CLEAN : ReleaseState.TIMED_OUT);
+                consumer.accept(answer);
+            });
+        });
+    }
+
+    /** Records the status in an answer to a question that was sent at the given time. */
+    void statusSeen(EndpointStatus status, Duration askedAt) {
+        lastStatus = Optional.of(status);
+        observed = wallClock.instant();
+        unreachableUntil = Duration.ZERO;
+        events.statusSeen(status, askedAt);
+    }
+
+    void markUnreachable() {
+        unreachableUntil = loop.now().plus(UNREACHABLE_FOR);
+    }
+
+    /** Changes the share of the connections. */
+    void resize(int share) {
+        pool.resize(share).forEach(this::closeConnection);
+    }
+
+    /** Closes connections that have been idle too long. */
+    void shrink() {
+        pool.shrink(loop.now()).forEach(this::closeConnection);
+    }
+
+    /** Opens connections ahead of demand where the sizing asks for it. */
+    void replenish() {
+        if (!closed) {
+            pool.replenish(loop.now()).ifPresent(this::open);
+        }
+    }
+
+    /** Closes all connections; requests on them end without an answer. */
+    void close() {
+        closed = true;
+        resize(0);
+        List.copyOf(connections.keySet()).forEach(this::closeConnection);
+        failWaiters(Purpose.TRAFFIC);
+        failWaiters(Purpose.CONTROL);
+    }
+
+    private void acquire(Purpose purpose, Consumer<Either<Failure, Long>> consumer) {
+        if (closed) {
+            consumer.accept(Either.left(noConnection()));
+            return;
+        }
+        PoolDecision decision = pool.acquire(purpose, true, loop.now());
+        if (decision instanceof PoolDecision.Use use) {
+            use(purpose, use, consumer);
+        } else if (decision instanceof PoolDecision.Open open) {
+            waiters.get(purpose).add(consumer);
+            open(open);
+        } else if (((PoolDecision.Wait) decision).retryAt().isPresent()) {
+            consumer.accept(Either.left(noConnection()));
+        } else {
+            waiters.get(purpose).add(consumer);
+        }
+    }
+
+    private void use(Purpose purpose, PoolDecision.Use use, Consumer<Either<Failure, Long>> consumer) {
+        long id = use.connection();
+        EndpointConnection connection = connections.get(id);
+        if (!connection.open()) {
+            release(id, ReleaseState.BROKEN);
+            acquire(purpose, consumer);
+            return;
+        }
+        if (!use.checkFirst()) {
+            consumer.accept(Either.right(id));
+            return;
+        }
+        Duration askedAt = loop.now();
+        loop.deliver(connection.status(CHECK_TIMEOUT), answer -> {
+            if (answer.isRight()) {
+                statusSeen(answer.get(), askedAt);
+                consumer.accept(Either.right(id));
+            } else {
+                release(id, ReleaseState.TIMED_OUT);
+                acquire(purpose, consumer);
+            }
+        });
+    }
+
+    private void open(PoolDecision.Open open) {
+        if (open.purpose() == Purpose.TRAFFIC) {
+            trafficIds.add(open.connection());
+        }
+        events.connectionsChanged();
+        loop.deliver(port.connect(settings, CONNECT_TIMEOUT), answer -> {
+            if (answer.isRight()) {
+                opened(open.connection(), answer.get());
+            } else {
+                pool.openFailed(open.connection(), loop.now());
+                trafficIds.remove(open.connection());
+                LOG.debugf("[endpoint] %s: %s", settings.name(), answer.getLeft().detail());
+                markUnreachable();
+                failWaiters(open.purpose());
+                serveWaiters();
+            }
+            events.connectionsChanged();
+        });
+    }
+
+    private void opened(long id, EndpointConnection connection) {
+        if (closed || !pool.opened(id, loop.now())) {
+            connection.close();
+            trafficIds.remove(id);
+            if (closed) {
+                pool.lost(id);
+            }
+            failWaiters(Purpose.TRAFFIC);
+            return;
+        }
+        unreachableUntil = Duration.ZERO;
+        connections.put(id, connection);
+        serveWaiters();
+    }
+
+    /** Serves waiting requests as far as connections are free, and opens the next one for those that still wait. */
+    private void serveWaiters() {
+        for (Purpose purpose : List.of(Purpose.CONTROL, Purpose.TRAFFIC)) {
+            Deque<Consumer<Either<Failure, Long>>> queue = waiters.get(purpose);
+            while (!queue.isEmpty() && !closed) {
+                PoolDecision decision = pool.acquire(purpose, true, loop.now());
+                if (decision instanceof PoolDecision.Use use) {
+                    use(purpose, use, queue.poll());
+                } else {
+                    if (decision instanceof PoolDecision.Open open) {
+                        open(open);
+                    } else if (((PoolDecision.Wait) decision).retryAt().isPresent()) {
+                        failWaiters(purpose);
+                    }
+                    break;
+                }
+            }
+        }
+    }
+
+    private void failWaiters(Purpose purpose) {
+        Deque<Consumer<Either<Failure, Long>>> queue = waiters.get(purpose);
+        List<Consumer<Either<Failure, Long>>> failed = List.copyOf(queue);
+        queue.clear();
+        failed.forEach(consumer -> consumer.accept(Either.left(noConnection())));
+    }
+
+    private void closeConnection(long id) {
+        EndpointConnection connection = connections.remove(id);
+        trafficIds.remove(id);
+        if (connection != null) {
+            connection.close();
+            events.connectionsChanged();
+        }
+    }
+
+    private Failure noConnection() {
+        return Failure.of(
+                ErrorKind.NO_ELIGIBLE_ENDPOINT, "No connection to endpoint " + settings.name() + " can be had.");
+    }
+}
--- /dev/null
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/EvidenceKeeper.java
@@ -0,0 +1,124 @@
+package org.lavenderwick.daemon.group;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.Consumer;
+
+import org.lavenderwick.adapters.endpoint.EndpointStatus;
+import org.lavenderwick.core.model.EndpointName;
+import org.lavenderwick.core.model.Term;
+import org.lavenderwick.core.promotion.EvidenceQuestions;
+import org.lavenderwick.core.promotion.GroupRecord;
+import org.lavenderwick.core.promotion.TermEvidence;
+
+/**
+ * Asks for term evidence when work needs it and wakes the work that waits for it. Confined to the event loop of the
+ * group.
+ */
+final class EvidenceKeeper {
+    /** Time without evidence after which no more writes are sent until there is some; many round trips. */
+    private static final Duration HOPE = Duration.ofMillis(300);
+
+    /** Pause between two looks for due questions while work waits. */
+    private static final Duration ASK_INTERVAL = Duration.ofMillis(50);
+
+    private final TermEvidence evidence;
+    private final EventLoop loop;
+    private final Consumer<EndpointName> askEndpoint;
+    private final Runnable askPlatform;
+    private final List<Waiter> waiters = new ArrayList<>();
+    private Duration missingSince;
+    private Term missingTerm = Term.NONE;
+    private boolean timerRuns;
+
+    /**
+     * Creates a keeper.
+     *
+     * @param evidence the evidence of the group
+     * @param loop event loop of the group
+     * @param askEndpoint asks an endpoint for its status, which comes back through {@link #statusSeen}
+     * @param askPlatform reads the group record, which comes back through {@link #recordSeen}
+     */
+    EvidenceKeeper(
+            TermEvidence evidence, EventLoop loop, Consumer<EndpointName> askEndpoint, Runnable askPlatform) {
+        this.evidence = evidence;
+        this.loop = loop;
+        this.askEndpoint = askEndpoint;
+        this.askPlatform = askPlatform;
+    }
+
+    /** Returns whether work of the term may be sent: there is evidence, or it can be expected in time. */
+    boolean hopeful(Term term) {
+        Duration now = loop.now();
+        if (evidence.mayAcknowledge(term, now)) {
+            missingSince = null;
+            return true;
+        }
+        if (missingSince == null || !missingTerm.equals(term)) {
+            missingSince = now;
+            missingTerm = term;
+        }
+        return now.minus(missingSince).compareTo(HOPE) < 0;
+    }
+
+    /** Sends the questions that are due so that work of the term can be acknowledged. */
+    void ask(Term term) {
+        EvidenceQuestions questions = evidence.questionsDue(term, loop.now());
+        questions.endpoints().stream().sorted(Comparator.naturalOrder()).forEach(askEndpoint);
+        if (questions.platform()) {
+            askPlatform.run();
+        }
+    }
+
+    /**
+     * Waits until work of the term may be acknowledged.
+     *
+     * @param term the term
+     * @param until monotonic time at which the wait ends
+     * @param consumer is told on the loop whether it may
+     */
+    void await(Term term, Duration until, Consumer<Boolean> consumer) {
+        if (evidence.mayAcknowledge(term, loop.now())) {
+            consumer.accept(true);
+            return;
+        }
+        waiters.add(new Waiter(term, until, consumer));
+        ask(term);
+        startTimer();
+    }
+
+    void statusSeen(EndpointStatus status, Duration askedAt) {
+        evidence.recordVote(status.endpoint(), status.promisedTerm(), askedAt);
+        wake();
+    }
+
+    void recordSeen(GroupRecord record, Duration askedAt) {
+        evidence.recordPlatform(record, askedAt);
+        wake();
+    }
+
+    private void startTimer() {
+        if (!timerRuns && !waiters.isEmpty()) {
+            timerRuns = true;
+            loop.at(loop.now().plus(ASK_INTERVAL), () -> {
+                timerRuns = false;
+                wake();
+                waiters.stream().map(Waiter::term).distinct().toList().forEach(this::ask);
+                startTimer();
+            });
+        }
+    }
+
+    private void wake() {
+        Duration now = loop.now();
+        List<Waiter> done = waiters.stream()
+                .filter(waiter -> waiter.until.compareTo(now) <= 0 || evidence.mayAcknowledge(waiter.term, now))
+                .toList();
+        waiters.removeAll(done);
+        done.forEach(waiter -> waiter.consumer.accept(evidence.mayAcknowledge(waiter.term, loop.now())));
+    }
+
+    private record Waiter(Term term, Duration until, Consumer<Boolean> consumer) {}
+}
--- /dev/null
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/GroupEnvironment.java
@@ -0,0 +1,26 @@
+package org.lavenderwick.daemon.group;
+
+import java.time.InstantSource;
+import java.util.random.RandomGenerator;
+
+import org.lavenderwick.adapters.endpoint.EndpointPort;
+
+/**
+ * What the executors of all groups share.
+ *
+ * @param endpoints opens connections to endpoints
+ * @param records the group records on the platform
+ * @param policies the policies
+ * @param wallClock wall time
+ * @param random source of jitter and of random choices, thread-safe
+ * @param transactions learns when transactions open and end
+ * @param operationPrefix marks records that this process writes
+ */
+public record GroupEnvironment(
+        EndpointPort endpoints,
+        GroupRecords records,
+        Policies policies,
+        InstantSource wallClock,
+        RandomGenerator random,
+        TransactionListener transactions,
+        String operationPrefix) {}
--- /dev/null
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/LinkEvents.java
@@ -0,0 +1,14 @@
+package org.lavenderwick.daemon.group;
+
+import java.time.Duration;
+
+import org.lavenderwick.adapters.endpoint.EndpointStatus;
+
+/** What a group wants to know of the link to an endpoint. */
+interface LinkEvents {
+    /** An answer carried the status of the endpoint; the question was sent at the given monotonic time. */
+    void statusSeen(EndpointStatus status, Duration askedAt);
+
+    /** The number of open connections may have changed. */
+    void connectionsChanged();
+}
--- /dev/null
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/OpenTransaction.java
@@ -0,0 +1,61 @@
+package org.lavenderwick.daemon.group;
+
+import java.time.Duration;
+import java.util.concurrent.Future;
+
+import org.lavenderwick.core.model.Term;
+
+/** A transaction and the connection that it owns. Confined to the event loop of the group. */
+final class OpenTransaction {
+    private final String id;
+    private final Target target;
+    private final long connection;
+    private final Term term;
+    private Future<?> idleCheck;
+    private boolean busy;
+
+    OpenTransaction(String id, Target target, long connection, Term term) {
+        this.id = id;
+        this.target = target;
+        this.connection = connection;
+        this.term = term;
+    }
+
+    String id() {
+        return id;
+    }
+
+    Target target() {
+        return target;
+    }
+
+    long connection() {
+        return connection;
+    }
+
+    Term term() {
+        return term;
+    }
+
+    boolean busy() {
+        return busy;
+    }
+
+    /** Notes that a step runs; the idle time does not count meanwhile. */
+    void stepStarts() {
+        busy = true;
+        stopIdleCheck();
+    }
+
+    /** Notes that no step runs any more. */
+    void stepEnded(EventLoop loop, Duration idleBound, Runnable onIdle) {
+        busy = false;
+        idleCheck = loop.at(loop.now().plus(idleBound), onIdle);
+    }
+
+    void stopIdleCheck() {
+        if (idleCheck != null) {
+            idleCheck.cancel(false);
+        }
+    }
+}
--- /dev/null
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/RecordRefresher.java
@@ -0,0 +1,64 @@
+package org.lavenderwick.daemon.group;
+
+import java.time.Duration;
+import java.util.function.BiConsumer;
+
+import org.jboss.logging.Logger;
+import org.lavenderwick.core.configuration.GroupSettings;
+import org.lavenderwick.core.promotion.GroupRecord;
+
+/** Reads the group record when somebody needs it, at most once in a while. Confined to the event loop. */
+final class RecordRefresher {
+    /** Pause between two reads; the gap of a failover is seconds, and calls to the platform are counted. */
+    private static final Duration INTERVAL = Duration.ofMillis(200);
+
+    private static final Logger LOG = Logger.getLogger(RecordRefresher.class);
+
+    private final GroupRecords records;
+    private final GroupSettings group;
+    private final String operationId;
+    private final EventLoop loop;
+    private final BiConsumer<GroupRecord, Duration> listener;
+    private Duration nextAt = Duration.ZERO;
+    private boolean reading;
+
+    /**
+     * Creates a refresher.
+     *
+     * @param records the records on the platform
+     * @param group the group
+     * @param operationId marks a first record that this daemon writes
+     * @param loop event loop of the group
+     * @param listener takes the record and the monotonic time before it was asked for
+     */
+    RecordRefresher(
+            GroupRecords records,
+            GroupSettings group,
+            String operationId,
+            EventLoop loop,
+            BiConsumer<GroupRecord, Duration> listener) {
+        this.records = records;
+        this.group = group;
+        this.operationId = operationId;
+        this.loop = loop;
+        this.listener = listener;
+    }
+
+    /** Reads the record unless a read is under way or was made a short while ago. */
+    void refresh() {
+        Duration askedAt = loop.now();
+        if (reading || askedAt.compareTo(nextAt) < 0) {
+            return;
+        }
+        reading = true;
+        loop.deliver(records.readOrCreate(group, operationId), answer -> {
+            reading = false;
+            nextAt = loop.now().plus(INTERVAL);
+            if (answer.isRight()) {
+                listener.accept(answer.get().record(), askedAt);
+            } else {
+                LOG.debugf("[group] %s: no group record: %s", group.name(), answer.getLeft().detail());
+            }
+        });
+    }
+}
--- /dev/null
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/SingleRunner.java
@@ -0,0 +1,224 @@
+package org.lavenderwick.daemon.group;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import io.vavr.control.Either;
+import org.lavenderwick.adapters.endpoint.EndpointReply;
+import org.lavenderwick.adapters.endpoint.EndpointRequest;
+import org.lavenderwick.adapters.endpoint.TransactionStep;
+import org.lavenderwick.core.admission.Access;
+import org.lavenderwick.core.admission.RetryBudget;
+import org.lavenderwick.core.admission.WorkItem;
+import org.lavenderwick.core.connections.ReleaseState;
+import org.lavenderwick.core.error.ErrorKind;
+import org.lavenderwick.core.error.Execution;
+import org.lavenderwick.core.error.Failure;
+import org.lavenderwick.core.model.LogPoint;
+import org.lavenderwick.core.model.Term;
+import org.lavenderwick.core.promotion.PromotionTimings;
+
+/** Runs statements that form a transaction of their own. Confined to the event loop of the group. */
+final class SingleRunner {
+    /** Time for which a primary that refused work as not run gets no more. */
+    static final Duration HOLD = Duration.ofMillis(100);
+
+    /** Endpoints that may turn out not to be fresh enough before the read goes to the primary. */
+    private static final int MAX_BEHIND = 2;
+
+    private final GroupContext context;
+    private final RetryBudget retries;
+    private final Consumer<Pending> requeue;
+    private final Runnable refreshRecord;
+
+    /**
+     * Creates a runner.
+     *
+     * @param context the state of the group
+     * @param retries limits attempts after one without an answer
+     * @param requeue puts work back into the queue that did not run
+     * @param refreshRecord asks for the group record
+     */
+    SingleRunner(GroupContext context, RetryBudget retries, Consumer<Pending> requeue, Runnable refreshRecord) {
+        this.context = context;
+        this.retries = retries;
+        this.requeue = requeue;
+        this.refreshRecord = refreshRecord;
+    }
+
+    /** One attempt: the work, where it runs, the term that the primary must serve, and when it was started. */
+    private record Attempt(Pending pending, Target target, Optional<Term> term, Duration started) {}
+
+    /** Starts work that was taken from the queue. */
+    void start(Pending pending, Target target) {
+        WorkItem item = pending.item();
+        Optional<Term> term =
+                item.access() == Access.READ || !needsTerm(pending.work())
+                        ? Optional.empty()
+                        : Optional.of(context.primaryView().term());
+        Attempt attempt = new Attempt(pending, target, term, context.loop().now());
+        target.started();
+        target.link().acquire(acquired -> {
+            if (acquired.isLeft()) {
+                target.ended();
+                pending.obstacle(acquired.getLeft());
+                requeue.accept(pending);
+            } else {
+                send(attempt, acquired.get());
+            }
+        });
+    }
+
+    private static boolean needsTerm(Work work) {
+        return work.write() || work.currentRead();
+    }
+
+    private void send(Attempt attempt, long connection) {
+        Work work = attempt.pending.work();
+        Duration sentAt = context.loop().now();
+        if (attempt.pending.pastDeadline(sentAt)) {
+            attempt.target.ended();
+            attempt.target.link().release(connection, ReleaseState.CLEAN);
+            attempt.pending.fail(WorkFailure.of(
+                    ErrorKind.DEADLINE_UNREACHABLE, "The deadline passed before a connection was free."));
+            return;
+        }
+        attempt.term.ifPresent(term -> context.evidence().ask(term));
+        EndpointRequest request = new EndpointRequest(
+                attempt.pending.nextAttemptId(),
+                work.group(),
+                work.write(),
+                TransactionStep.SINGLE,
+                work.statements(),
+                attempt.term,
+                work.minimumPoint(),
+                attempt.term.isPresent() ? Optional.empty() : work.maxStaleness(),
+                work.idempotencyKey());
+        context.loop()
+                .deliver(
+                        attempt.target.link().connection(connection).execute(request, CallTimeouts.of(work, sentAt)),
+                        answer -> answered(attempt, connection, sentAt, answer));
+    }
+
+    private void answered(
+            Attempt attempt, long connection, Duration sentAt, Either<Failure, EndpointReply> answer) {
+        Target target = attempt.target;
+        if (answer.isLeft()) {
+            target.timedOut(sentAt);
+            target.ended();
+            target.link().release(connection, ReleaseState.TIMED_OUT);
+            noAnswer(attempt, answer.getLeft());
+            return;
+        }
+        EndpointReply reply = answer.get();
+        target.answered(sentAt);
+        target.ended();
+        target.link().statusSeen(reply.status(), sentAt);
+        switch (reply.outcome()) {
+            case DONE -> {
+                target.link().release(connection, ReleaseState.CLEAN);
+                done(attempt, reply);
+            }
+            case STATEMENT_FAILED -> {
+                target.link().release(connection, ReleaseState.CLEAN);
+                attempt.pending.fail(WorkFailure.of(ErrorKind.STATEMENT_FAILED, reply.detail()));
+            }
+            case WRONG_TRANSACTION_STATE -> {
+                target.link().release(connection, ReleaseState.OPEN_TRANSACTION);
+                requeue.accept(attempt.pending);
+            }
+            case WRITE_LOST -> {
+                target.link().release(connection, ReleaseState.CLEAN);
+                attempt.pending.fail(new WorkFailure(
+                        Failure.of(ErrorKind.SESSION_WRITE_LOST, "A failover dropped a write of this session."),
+                        Optional.of(reply.status().point())));
+            }
+            case BEHIND -> {
+                target.link().release(connection, ReleaseState.CLEAN);
+                behind(attempt);
+            }
+            default -> {
+                target.link().release(connection, ReleaseState.CLEAN);
+                refusedByPrimary(attempt);
+            }
+        }
+    }
+
+    private void noAnswer(Attempt attempt, Failure failure) {
+        Pending pending = attempt.pending;
+        if (failure.kind().execution() == Execution.NOT_RUN) {
+            pending.obstacle(failure);
+            requeue.accept(pending);
+            return;
+        }
+        pending.sentWithoutAnswer();
+        if (!pending.work().repeatable()) {
+            pending.fail(WorkFailure.of(failure));
+        } else if (retries.tryRetry()) {
+            requeue.accept(pending);
+        } else {
+            pending.fail(WorkFailure.of(
+                    ErrorKind.RETRY_BUDGET_EXHAUSTED, "The endpoint gave no answer, and too many requests are retried."));
+        }
+    }
+
+    private void refusedByPrimary(Attempt attempt) {
+        Duration now = context.loop().now();
+        context.primaryView().hold(context.primaryView().term(), now.plus(HOLD));
+        attempt.pending.obstacle(
+                Failure.of(ErrorKind.NO_PRIMARY, "The primary of the database group is being replaced."));
+        refreshRecord.run();
+        requeue.accept(attempt.pending);
+    }
+
+    /** The endpoint's status has told routing how far it is; after a few such answers the primary serves the read. */
+    private void behind(Attempt attempt) {
+        Pending pending = attempt.pending;
+        if (pending.foundBehind() >= MAX_BEHIND && pending.item().access() == Access.READ) {
+            WorkItem item = pending.item();
+            pending.item(new WorkItem(
+                    item.id(),
+                    item.rank(),
+                    Access.PRIMARY_READ,
+                    item.statements(),
+                    item.arrival(),
+                    item.due(),
+                    item.deadline()));
+        }
+        pending.obstacle(Failure.of(ErrorKind.NO_ELIGIBLE_ENDPOINT, "No endpoint is fresh enough."));
+        requeue.accept(pending);
+    }
+
+    private void done(Attempt attempt, EndpointReply reply) {
+        Pending pending = attempt.pending;
+        Work work = pending.work();
+        context.queue().completed(pending.item(), attempt.started, context.loop().now());
+        LogPoint point = reply.status().point();
+        WorkAnswer answer = new WorkAnswer(
+                reply.results().orElse(new byte[] {'[', ']'}),
+                point,
+                reply.status().endpoint(),
+                reply.status().primary(),
+                work.write(),
+                Optional.empty());
+        if (attempt.term.isEmpty()) {
+            pending.answer(answer);
+            return;
+        }
+        Duration until = context.loop().now().plus(PromotionTimings.EVIDENCE_MAX_AGE);
+        Duration bound = until.compareTo(work.deadline()) < 0 ? until : work.deadline();
+        context.evidence().await(attempt.term.get(), bound, confirmed -> {
+            if (confirmed) {
+                pending.answer(answer);
+            } else if (work.write()) {
+                pending.fail(WorkFailure.of(
+                        ErrorKind.OUTCOME_UNKNOWN,
+                        "The write ran, but it cannot be shown that its primary was not replaced."));
+            } else {
+                pending.fail(WorkFailure.of(
+                        ErrorKind.TERM_UNCONFIRMED, "It cannot be shown that the primary was not replaced."));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/StartPlanner.java
@@ -0,0 +1,150 @@
+package org.lavenderwick.daemon.group;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+import org.lavenderwick.core.admission.Access;
+import org.lavenderwick.core.admission.AdmissionQueue;
+import org.lavenderwick.core.admission.StartRule;
+import org.lavenderwick.core.admission.WorkItem;
+import org.lavenderwick.core.billing.Demand;
+import org.lavenderwick.core.error.ErrorKind;
+import org.lavenderwick.core.error.Failure;
+import org.lavenderwick.core.model.EndpointName;
+import org.lavenderwick.core.routing.EndpointView;
+import org.lavenderwick.core.routing.ReadNeeds;
+import org.lavenderwick.core.routing.ReadRouting;
+import org.lavenderwick.core.routing.Route;
+
+/** Decides whether a waiting item may start now, and where. Confined to the event loop of the group. */
+final class StartPlanner implements StartRule {
+    /** Stands for a wait without end, as when no connection to the endpoint exists. */
+    private static final Duration ENDLESS = Duration.ofDays(1);
+
+    private final GroupContext state;
+    private final ReadRouting routing;
+    private final RandomGenerator random;
+    private final InstantSource wallClock;
+    private final Map<Long, Plan> plans = new HashMap<>();
+
+    StartPlanner(GroupContext state, ReadRouting routing, RandomGenerator random, InstantSource wallClock) {
+        this.state = state;
+        this.routing = routing;
+        this.random = random;
+        this.wallClock = wallClock;
+    }
+
+    /**
+     * What to do with an item that was taken from the queue.
+     *
+     * @param target where it runs; empty if it is refused
+     * @param refusal why it is refused
+     * @param demand what it asks of the spending policy
+     */
+    record Plan(Optional<Target> target, Optional<Failure> refusal, Demand demand) {}
+
+    /** Returns the plan of an item that was just taken. */
+    Plan planOf(WorkItem item) {
+        Plan plan = plans.get(item.id());
+        plans.clear();
+        return plan;
+    }
+
+    @Override
+    public boolean mayStart(WorkItem item) {
+        Pending pending = state.pending(item.id());
+        Optional<Plan> plan =
+                item.access() == Access.READ ? planRead(pending, item) : planPrimary(pending, item);
+        plan.ifPresent(made -> plans.put(item.id(), made));
+        return plan.isPresent();
+    }
+
+    private Optional<Plan> planPrimary(Pending pending, WorkItem item) {
+        PrimaryView view = state.primaryView();
+        Optional<Target> primary = view.primary().flatMap(state::target);
+        if (primary.isEmpty() || !view.usable(state.loop().now()) || !primary.get().usable()) {
+            pending.obstacle(Failure.of(ErrorKind.NO_PRIMARY, "The database group has no reachable primary."));
+            return Optional.empty();
+        }
+        boolean needsEvidence = pending.work().write() || pending.work().currentRead();
+        if (needsEvidence && !state.evidence().hopeful(view.term())) {
+            pending.obstacle(Failure.of(
+                    ErrorKind.TERM_UNCONFIRMED, "It cannot be shown that term " + view.term() + " is current."));
+            state.evidence().ask(view.term());
+            return Optional.empty();
+        }
+        pending.noObstacle();
+        Demand demand = demand(item, primary.get());
+        Target target = primary.get();
+        boolean room = target.hasRoom(false) || (target.hasRoom(true) && mayOpen(target, demand));
+        return room && state.usage().mayStart(demand)
+                ? Optional.of(new Plan(primary, Optional.empty(), demand))
+                : Optional.empty();
+    }
+
+    private Optional<Plan> planRead(Pending pending, WorkItem item) {
+        Route route = route(pending, true);
+        Optional<Target> target = chosen(route);
+        if (target.isPresent() && !target.get().hasRoom(false) && !mayOpen(target.get(), demand(item, target.get()))) {
+            route = route(pending, false);
+            target = chosen(route);
+        }
+        if (route instanceof Route.Refuse refuse) {
+            if (refuse.failure().kind() == ErrorKind.SESSION_WRITE_LOST) {
+                return Optional.of(new Plan(
+                        Optional.empty(), Optional.of(refuse.failure()), demand(item, Duration.ZERO, Duration.ZERO)));
+            }
+            pending.obstacle(refuse.failure());
+            return Optional.empty();
+        }
+        if (target.isEmpty() || !target.get().hasRoom(true)) {
+            return Optional.empty();
+        }
+        pending.noObstacle();
+        Demand demand = demand(item, target.get());
+        return state.usage().mayStart(demand)
+                ? Optional.of(new Plan(target, Optional.empty(), demand))
+                : Optional.empty();
+    }
+
+    private Optional<Target> chosen(Route route) {
+        return route instanceof Route.To to ? state.target(to.endpoint()) : Optional.empty();
+    }
+
+    private Route route(Pending pending, boolean mayOpen) {
+        Optional<EndpointName> primary = state.primaryView().primary();
+        Collection<EndpointView> views = state.targets().stream()
+                .map(target -> target.view(
+                        primary.filter(target.name()::equals).isPresent(), mayOpen, wallClock.instant()))
+                .toList();
+        ReadNeeds needs = new ReadNeeds(
+                pending.work().minimumPoint(),
+                pending.work().maxStaleness(),
+                wallClock.instant(),
+                state.primaryView().termStarts());
+        return routing.choose(views, needs, random);
+    }
+
+    /** An endpoint without any traffic connection gets one in any case, since its work would never start otherwise. */
+    private boolean mayOpen(Target target, Demand demand) {
+        return target.hasRoom(true) && (target.link().trafficConnections() == 0 || state.usage().mayOpen(demand));
+    }
+
+    private Demand demand(WorkItem item, Target target) {
+        AdmissionQueue queue = state.queue();
+        Duration wait = target.link().trafficConnections() == 0
+                ? ENDLESS
+                : queue.expectedWait(item.rank(), item.access());
+        return demand(item, wait, target.latency());
+    }
+
+    private Demand demand(WorkItem item, Duration wait, Duration service) {
+        return new Demand(
+                item.rank(), item.statements(), item.due().minus(state.loop().now()), wait, service);
+    }
+}
--- /dev/null
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/TransactionListener.java
@@ -0,0 +1,10 @@
+package org.lavenderwick.daemon.group;
+
+/** Learns when transactions open and end, so that a drain waits for them. Thread-safe. */
+public interface TransactionListener {
+    /** A transaction was opened. */
+    void opened();
+
+    /** A transaction ended. */
+    void ended();
+}
