--- a/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/caller/CallerServer.java
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/caller/CallerServer.java
@@ -17,6 +17,8 @@
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Promise;
+import org.eclipse.jetty.util.thread.Invocable;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.jboss.logging.Logger;
 import org.lavenderwick.adapters.json.ProblemDocuments;
@@ -27,9 +29,6 @@
  * answer is dropped then.
  */
 public final class CallerServer implements AutoCloseable {
-    /** Largest request body. */
-    public static final int MAX_BODY_BYTES = 1_000_000;
-
     private static final Logger LOG = Logger.getLogger(CallerServer.class);
     private static final int MAX_THREADS = 64;
     private static final int MIN_THREADS = 4;
@@ -44,8 +43,17 @@
         this.connector = connector;
     }
 
-    /** Starts a server on the address; port 0 takes a free port. */
-    public static CallerServer start(InetSocketAddress address, RequestHandler handler) throws Exception {
+    /**
+     * Starts a server.
+     *
+     * @param address address to listen on; port 0 takes a free port
+     * @param handler serves the requests
+     * @param maxBodyBytes largest request body
+     * @param defaultDeadline deadline of requests that state none
+     */
+    public static CallerServer start(
+            InetSocketAddress address, RequestHandler handler, int maxBodyBytes, Duration defaultDeadline)
+            throws Exception {
         QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
         threads.setName("callers");
         threads.setDaemon(true);
@@ -57,7 +65,7 @@
         connector.setPort(address.getPort());
         connector.setIdleTimeout(IDLE_TIMEOUT.toMillis());
         server.addConnector(connector);
-        server.setHandler(new CallerHandler(handler));
+        server.setHandler(new CallerHandler(handler, maxBodyBytes, defaultDeadline));
         server.start();
         return new CallerServer(server, connector);
     }
@@ -78,11 +86,14 @@
 
     private static final class CallerHandler extends Handler.Abstract.NonBlocking {
         private final RequestHandler handler;
-        private final RequestParser parser = new RequestParser();
+        private final int maxBodyBytes;
+        private final RequestParser parser;
         private final AnswerWriter writer = new AnswerWriter();
 
-        CallerHandler(RequestHandler handler) {
+        CallerHandler(RequestHandler handler, int maxBodyBytes, Duration defaultDeadline) {
             this.handler = handler;
+            this.maxBodyBytes = maxBodyBytes;
+            this.parser = new RequestParser(defaultDeadline);
         }
 
         @Override
@@ -91,7 +102,7 @@
                 refuse(response, callback, ErrorKind.MALFORMED_REQUEST, "The interface takes POST requests only.");
                 return true;
             }
-            if (request.getLength() > MAX_BODY_BYTES) {
+            if (request.getLength() > maxBodyBytes) {
                 refuse(response, callback, ErrorKind.REQUEST_TOO_LARGE, tooLarge());
                 return true;
             }
@@ -100,15 +111,16 @@
                 refuse(response, callback, ErrorKind.MALFORMED_REQUEST, "The content type is not application/json.");
                 return true;
             }
-            Content.Source.asByteArrayAsync(request, MAX_BODY_BYTES + 1).whenComplete((body, error) -> {
-                if (error instanceof IllegalStateException || (body != null && body.length > MAX_BODY_BYTES)) {
+            Content.Source.asByteArrayAsync(request, maxBodyBytes + 1, Promise.Invocable.from(
+                    Invocable.InvocationType.NON_BLOCKING, (body, error) -> {
+                if (error instanceof IllegalStateException || (body != null && body.length > maxBodyBytes)) {
                     refuse(response, callback, ErrorKind.REQUEST_TOO_LARGE, tooLarge());
                 } else if (error != null) {
                     callback.failed(error);
                 } else {
                     serve(Request.getPathInContext(request), body, response, callback);
                 }
-            });
+            }));
             return true;
         }
 
@@ -159,8 +171,8 @@
             return contentType != null && contentType.split(";", 2)[0].trim().equalsIgnoreCase("application/json");
         }
 
-        private static String tooLarge() {
-            return "The body is larger than " + MAX_BODY_BYTES + " bytes.";
+        private String tooLarge() {
+            return "The body is larger than " + maxBodyBytes + " bytes.";
         }
     }
 }
--- a/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/caller/RequestParser.java
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/caller/RequestParser.java
@@ -26,9 +26,6 @@
  * not define: unknown keys, duplicate keys, wrong types, values out of range, trailing input. Thread-safe.
  */
 final class RequestParser {
-    /** Deadline of a request that states none. */
-    static final Duration DEFAULT_DEADLINE = Duration.ofSeconds(10);
-
     /** Longest deadline; bounds how long an abandoned request can hold memory. */
     static final Duration MAX_DEADLINE = Duration.ofSeconds(60);
 
@@ -58,6 +55,13 @@
             .disable(JsonNodeFeature.STRIP_TRAILING_BIGDECIMAL_ZEROES)
             .build();
 
+    private final Duration defaultDeadline;
+
+    /** Creates a parser that gives requests without a deadline the given one. */
+    RequestParser(Duration defaultDeadline) {
+        this.defaultDeadline = defaultDeadline;
+    }
+
     /** Parses a request; linear in the size of the body. */
     Either<Failure, CallerRequest> parse(String path, byte[] body) {
         List<String> parts = Splitter.on('/').splitToList(path);
@@ -135,7 +139,7 @@
                 text(root, "session", MAX_SESSION_LENGTH));
     }
 
-    private static CallerRequest step(String handle, CallerRequest.Action action, byte[] statements, JsonNode root)
+    private CallerRequest step(String handle, CallerRequest.Action action, byte[] statements, JsonNode root)
             throws MalformedRequestException {
         return new CallerRequest.Step(
                 handle, action, statements, deadline(root), text(root, "session", MAX_SESSION_LENGTH));
@@ -190,8 +194,8 @@
         return RankName.of(text(root, "rank", MAX_KEY_LENGTH).orElseThrow(() -> missing("rank")));
     }
 
-    private static Duration deadline(JsonNode root) throws MalformedRequestException {
-        return millis(root, "deadlineMs", 1, MAX_DEADLINE).orElse(DEFAULT_DEADLINE);
+    private Duration deadline(JsonNode root) throws MalformedRequestException {
+        return millis(root, "deadlineMs", 1, MAX_DEADLINE).orElse(defaultDeadline);
     }
 
     private static Optional<Duration> millis(JsonNode root, String name, long least, Duration most)
--- a/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/operator/OperatorServer.java
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/operator/OperatorServer.java
@@ -23,6 +23,8 @@
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Promise;
+import org.eclipse.jetty.util.thread.Invocable;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.jboss.logging.Logger;
 import org.lavenderwick.adapters.json.JsonMappers;
@@ -123,7 +125,8 @@
         }
 
         private void promote(Request request, Response response, Callback callback) {
-            Content.Source.asByteArrayAsync(request, MAX_BODY_BYTES).whenComplete((body, error) -> {
+            Content.Source.asByteArrayAsync(request, MAX_BODY_BYTES, Promise.Invocable.from(
+                    Invocable.InvocationType.NON_BLOCKING, (body, error) -> {
                 if (error != null) {
                     refuse(
                             response,
@@ -141,7 +144,7 @@
                         accept(response, callback, result.get());
                     }
                 });
-            });
+            }));
         }
 
         private CompletableFuture<Either<Failure, String>> order(byte[] body) {
--- a/lavenderwick-adapters/src/test/java/org/lavenderwick/adapters/caller/CallerServerTest.java
+++ b/lavenderwick-adapters/src/test/java/org/lavenderwick/adapters/caller/CallerServerTest.java
@@ -30,6 +30,7 @@
 
 class CallerServerTest {
     private static final String SINGLE = "/v1/services/orders/groups/ledger/statements";
+    private static final int MAX_BODY_BYTES = 100_000;
     private static final String BEGIN = "/v1/services/orders/groups/ledger/transactions";
 
     private final List<CallerRequest> seen = new CopyOnWriteArrayList<>();
@@ -47,7 +48,7 @@
         server = CallerServer.start(new InetSocketAddress("127.0.0.1", 0), request -> {
             seen.add(request);
             return CompletableFuture.completedFuture(next);
-        });
+        }, MAX_BODY_BYTES, Duration.ofSeconds(10));
     }
 
     @AfterEach
@@ -138,14 +139,14 @@
 
         @Test
         void withAnOversizeBodyIsRefused() throws Exception {
-            String body = "{\"rank\":\"" + "r".repeat(CallerServer.MAX_BODY_BYTES) + "\"}";
+            String body = "{\"rank\":\"" + "r".repeat(MAX_BODY_BYTES) + "\"}";
             assertThat(post(SINGLE, body).statusCode()).isEqualTo(413);
             assertThat(seen).isEmpty();
         }
 
         @Test
         void withAnOversizeBodyOfUnstatedLengthIsRefused() throws Exception {
-            byte[] body = new byte[CallerServer.MAX_BODY_BYTES + 1];
+            byte[] body = new byte[MAX_BODY_BYTES + 1];
             HttpResponse<String> response = client.send(
                     HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + server.port() + SINGLE))
                             .header("Content-Type", "application/json")
--- /dev/null
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/Main.java
@@ -0,0 +1,126 @@
+package org.lavenderwick.daemon;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.stream.Collectors;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import io.vavr.control.Either;
+import org.jboss.logging.Logger;
+import org.lavenderwick.adapters.settings.DaemonSettings;
+import org.lavenderwick.adapters.settings.DaemonSettingsLoader;
+import org.lavenderwick.adapters.settings.SettingsProblem;
+import org.lavenderwick.core.drain.DrainState;
+
+/** The program {@code lavenderwickd}. */
+public final class Main {
+    /** The program did what it was asked for. */
+    static final int DONE = 0;
+
+    /** The program failed. */
+    static final int FAILED = 1;
+
+    /** The program was called wrongly or its settings are wrong. */
+    static final int USAGE = 2;
+
+    private static final String PROGRAM = "lavenderwickd";
+
+    @Parameter(
+            names = {"--settings"},
+            description = "File with the settings of the daemon, in JSON.")
+    private String settings;
+
+    @Parameter(
+            names = {"--help"},
+            description = "Show this text.",
+            help = true)
+    private boolean help;
+
+    @Parameter(
+            names = {"--version"},
+            description = "Show the version.",
+            help = true)
+    private boolean version;
+
+    private Main() {}
+
+    /** Runs the daemon until it is told to stop. */
+    public static void main(String[] arguments) {
+        int status = new Main().run(arguments);
+        if (status != DONE) {
+            System.exit(status);
+        }
+    }
+
+    /** Parses the arguments and runs the daemon; returns the exit status. */
+    int run(String... arguments) {
+        JCommander commander =
+                JCommander.newBuilder().programName(PROGRAM).addObject(this).build();
+        try {
+            commander.parse(arguments);
+        } catch (ParameterException e) {
+            return fail(USAGE, e.getMessage());
+        }
+        if (help) {
+            commander.usage();
+            return DONE;
+        }
+        if (version) {
+            System.out.println(PROGRAM + " " + Version.current());
+            return DONE;
+        }
+        if (settings == null) {
+            return fail(USAGE, "the option --settings is missing; see --help");
+        }
+        Either<List<SettingsProblem>, DaemonSettings> loaded = DaemonSettingsLoader.load(Path.of(settings));
+        if (loaded.isLeft()) {
+            return fail(
+                    USAGE,
+                    loaded.getLeft().stream().map(SettingsProblem::toString).collect(Collectors.joining("; ")));
+        }
+        return serve(loaded.get());
+    }
+
+    private static int serve(DaemonSettings settings) {
+        LogSetup.use(settings.logFormat());
+        Daemon daemon;
+        try {
+            daemon = Daemon.start(settings);
+        } catch (Exception e) {
+            return fail(FAILED, "the daemon does not start: " + e.getMessage());
+        }
+        CountDownLatch stopped = new CountDownLatch(1);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon, stopped), "stop"));
+        try {
+            stopped.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return DONE;
+    }
+
+    /** Drains the daemon on SIGTERM. The Java runtime ends the process when this returns. */
+    private static void stop(Daemon daemon, CountDownLatch stopped) {
+        Logger log = Logger.getLogger(Main.class);
+        try {
+            DrainState state = daemon.drain().get();
+            log.infof("[daemon] Stops after a drain that ended as %s.", state);
+        } catch (ExecutionException e) {
+            log.errorf(e, "[daemon] The drain failed.");
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            daemon.close();
+            stopped.countDown();
+        }
+    }
+
+    private static int fail(int status, String message) {
+        System.err.println(PROGRAM + ": " + message.replace('\n', ' '));
+        return status;
+    }
+}
--- /dev/null
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/PromotionDriver.java
@@ -0,0 +1,160 @@
+package org.lavenderwick.daemon.control;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
+import io.vavr.control.Either;
+import org.jboss.logging.Logger;
+import org.lavenderwick.adapters.endpoint.EndpointStatus;
+import org.lavenderwick.core.configuration.EndpointSettings;
+import org.lavenderwick.core.error.ErrorKind;
+import org.lavenderwick.core.error.Failure;
+import org.lavenderwick.core.model.EndpointName;
+import org.lavenderwick.core.promotion.EndpointReport;
+import org.lavenderwick.core.promotion.GroupRecord;
+import org.lavenderwick.core.promotion.GroupState;
+import org.lavenderwick.core.promotion.MonitorAction;
+import org.lavenderwick.core.promotion.PrimaryMonitor;
+import org.lavenderwick.core.promotion.PromotionRequest;
+import org.lavenderwick.core.promotion.PromotionTimings;
+import org.lavenderwick.daemon.group.GroupExecutor;
+import org.lavenderwick.daemon.group.GroupPlacement;
+
+/** Watches the primary of an owned group and runs its promotions. Confined to the control thread. */
+final class PromotionDriver {
+    private static final Duration TICK = Duration.ofMillis(100);
+    private static final Logger LOG = Logger.getLogger(PromotionDriver.class);
+
+    private final ControlContext context;
+    private GroupPlacement placement;
+    private PrimaryMonitor monitor;
+    private GroupExecutor executor;
+    private Optional<GroupRecord> record = Optional.empty();
+    private Optional<PromotionRun> running = Optional.empty();
+    private boolean closed;
+
+    PromotionDriver(ControlContext context, GroupPlacement placement) {
+        this.context = context;
+        this.placement = placement;
+        this.monitor = monitor(placement);
+    }
+
+    void start(GroupExecutor groupExecutor) {
+        executor = groupExecutor;
+        tick();
+    }
+
+    void close() {
+        closed = true;
+        running.ifPresent(PromotionRun::stop);
+    }
+
+    void update(GroupPlacement changed) {
+        boolean sameEndpoints =
+                names(changed).equals(names(placement));
+        placement = changed;
+        if (!sameEndpoints) {
+            monitor = monitor(changed);
+            record.ifPresent(known -> monitor.recordSeen(known, context.control().now()));
+        }
+    }
+
+    void statusSeen(EndpointStatus status) {
+        if (!closed) {
+            perform(monitor.answered(report(status), context.control().now()));
+        }
+    }
+
+    void recordSeen(GroupRecord seen) {
+        boolean newer = record.map(known -> seen.term().compareTo(known.term()) >= 0).orElse(true);
+        if (newer) {
+            record = Optional.of(seen);
+        }
+        monitor.recordSeen(seen, context.control().now());
+    }
+
+    /** Starts a planned change of primary. */
+    Either<Failure, String> switchOver(Optional<EndpointName> target) {
+        Optional<EndpointName> unknown =
+                target.filter(name -> placement.group().endpoint(name).isEmpty());
+        if (unknown.isPresent()) {
+            return Either.left(
+                    Failure.of(ErrorKind.MALFORMED_REQUEST, "The group has no endpoint " + unknown.get() + "."));
+        }
+        if (running.isPresent()) {
+            return Either.left(Failure.of(ErrorKind.VERSION_CONFLICT, "A promotion of the group is under way."));
+        }
+        begin(new PromotionRequest.Switchover(target));
+        return Either.right("The change of primary of " + placement.group().name() + " has started.");
+    }
+
+    static EndpointReport report(EndpointStatus status) {
+        return new EndpointReport(
+                status.endpoint(),
+                status.primary(),
+                status.term(),
+                status.promisedTerm(),
+                status.point(),
+                status.pointTime(),
+                status.openTransactions());
+    }
+
+    private void tick() {
+        if (!closed) {
+            perform(monitor.tick(context.control().now()));
+            leaveStoppingPrimary();
+            context.control().at(context.control().now().plus(TICK), this::tick);
+        }
+    }
+
+    /** A planned stop of the primary moves the group away from it; the lead owner sees to that. */
+    private void leaveStoppingPrimary() {
+        Instant now = context.wallClock().instant();
+        boolean stops = record.filter(known -> known.state() == GroupState.OPEN)
+                .filter(known -> placement.leaving(known.primary(), now))
+                .isPresent();
+        if (stops && placement.place() == 0 && running.isEmpty()) {
+            begin(new PromotionRequest.Switchover(Optional.empty()));
+        }
+    }
+
+    private void perform(List<MonitorAction> actions) {
+        for (MonitorAction action : actions) {
+            if (action instanceof MonitorAction.Probe probe) {
+                executor.control(
+                        probe.endpoint(),
+                        connection -> connection.status(PromotionTimings.DEFAULT.probeInterval()));
+            } else if (action instanceof MonitorAction.StartPromotion start) {
+                if (running.isEmpty()) {
+                    LOG.warnf("[promotion] %s: the primary of term %s does not answer.",
+                            placement.group().name(), start.term());
+                    begin(new PromotionRequest.Unplanned(start.term()));
+                }
+            } else if (action instanceof MonitorAction.WithdrawPromotion) {
+                running.ifPresent(PromotionRun::withdraw);
+            } else if (action instanceof MonitorAction.ResumePromotion && running.isEmpty()) {
+                begin(new PromotionRequest.Resume());
+            }
+        }
+    }
+
+    private void begin(PromotionRequest request) {
+        PromotionRun run =
+                new PromotionRun(context, placement.group().name(), names(placement), executor, finished -> {
+                    running = Optional.empty();
+                    finished.ifPresent(this::recordSeen);
+                });
+        running = Optional.of(run);
+        run.start(request);
+    }
+
+    private static PrimaryMonitor monitor(GroupPlacement placement) {
+        return PrimaryMonitor.create(names(placement), PromotionTimings.DEFAULT);
+    }
+
+    private static List<EndpointName> names(GroupPlacement placement) {
+        return placement.group().endpoints().stream().map(EndpointSettings::name).toList();
+    }
+}
--- /dev/null
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/entry/Relayed.java
@@ -0,0 +1,12 @@
+package org.lavenderwick.daemon.entry;
+
+import org.lavenderwick.core.membership.Seat;
+import org.lavenderwick.daemon.group.WorkAnswer;
+
+/**
+ * An answer and the owner that gave it.
+ *
+ * @param answer the answer
+ * @param owner the owner
+ */
+public record Relayed(WorkAnswer answer, Seat owner) {}
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/CallTimeouts.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/CallTimeouts.java
@@ -16,7 +16,6 @@
 
     static Duration of(Work work, Duration now) {
         Duration remaining = work.deadline().minus(now);
-        return Comparators.max(
-                Duration.ofMillis(1), Comparators.min(remaining, work.repeatable() ? REPEATABLE : ONCE));
+        return Comparators.max(Duration.ofMillis(1), Comparators.min(remaining, work.repeatable() ? REPEATABLE : ONCE));
     }
 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/EndpointLink.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/EndpointLink.java
@@ -107,9 +107,7 @@
 
     /** Returns whether one more request may wait for a new connection: one opens at a time. */
     boolean mayOpenForTraffic() {
-        return waiters.get(Purpose.TRAFFIC).isEmpty()
-                && pool.open() < pool.share()
-                && !closed;
+        return waiters.get(Purpose.TRAFFIC).isEmpty() && pool.open() < pool.share() && !closed;
     }
 
     /** Gives a traffic connection to the consumer, or a failure if none can be had; nothing was sent then. */
@@ -198,7 +196,7 @@
             consumer.accept(Either.left(noConnection()));
             return;
         }
-        PoolDecision decision = pool.acquire(purpose, true, loop.now());
+        PoolDecision decision = pool.acquire(purpose, () -> true, loop.now());
         if (decision instanceof PoolDecision.Use use) {
             use(purpose, use, consumer);
         } else if (decision instanceof PoolDecision.Open open) {
@@ -246,7 +244,8 @@
             } else {
                 pool.openFailed(open.connection(), loop.now());
                 trafficIds.remove(open.connection());
-                LOG.debugf("[endpoint] %s: %s", settings.name(), answer.getLeft().detail());
+                LOG.debugf(
+                        "[endpoint] %s: %s", settings.name(), answer.getLeft().detail());
                 markUnreachable();
                 failWaiters(open.purpose());
                 serveWaiters();
@@ -275,7 +274,7 @@
         for (Purpose purpose : List.of(Purpose.CONTROL, Purpose.TRAFFIC)) {
             Deque<Consumer<Either<Failure, Long>>> queue = waiters.get(purpose);
             while (!queue.isEmpty() && !closed) {
-                PoolDecision decision = pool.acquire(purpose, true, loop.now());
+                PoolDecision decision = pool.acquire(purpose, () -> true, loop.now());
                 if (decision instanceof PoolDecision.Use use) {
                     use(purpose, use, queue.poll());
                 } else {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/EventLoop.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/EventLoop.java
@@ -58,8 +58,7 @@
 
     /** Runs a task on the loop again and again with the given pause in between. */
     public Future<?> every(Duration pause, Runnable task) {
-        return executor.scheduleWithFixedDelay(
-                guarded(task), pause.toNanos(), pause.toNanos(), TimeUnit.NANOSECONDS);
+        return executor.scheduleWithFixedDelay(guarded(task), pause.toNanos(), pause.toNanos(), TimeUnit.NANOSECONDS);
     }
 
     /** Hands the result of a future, which never completes exceptionally, to a consumer on the loop. */
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/EvidenceKeeper.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/EvidenceKeeper.java
@@ -41,8 +41,7 @@
      * @param askEndpoint asks an endpoint for its status, which comes back through {@link #statusSeen}
      * @param askPlatform reads the group record, which comes back through {@link #recordSeen}
      */
-    EvidenceKeeper(
-            TermEvidence evidence, EventLoop loop, Consumer<EndpointName> askEndpoint, Runnable askPlatform) {
+    EvidenceKeeper(TermEvidence evidence, EventLoop loop, Consumer<EndpointName> askEndpoint, Runnable askPlatform) {
         this.evidence = evidence;
         this.loop = loop;
         this.askEndpoint = askEndpoint;
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/GroupExecutor.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/GroupExecutor.java
@@ -70,8 +70,7 @@
                 loop,
                 new UsageMeter(policies.spending().apply(service), environment.wallClock()),
                 policies.queue().apply(service));
-        this.planner =
-                new StartPlanner(context, policies.routing(), environment.random(), environment.wallClock());
+        this.planner = new StartPlanner(context, policies.routing(), environment.random(), environment.wallClock());
         this.refresher = new RecordRefresher(
                 environment.records(),
                 placement.group(),
@@ -132,11 +131,19 @@
         return result;
     }
 
-    /** Takes a group record that another part of the daemon read or wrote. */
+    /** Takes a group record that another part of the daemon read; it was asked for at the given monotonic time. */
     public void record(GroupRecord record, Duration askedAt) {
         loop.execute(() -> recordSeen(record, askedAt));
     }
 
+    /** Takes a group record of unknown age, which says who is primary but is no evidence for its term. */
+    public void hint(GroupRecord record) {
+        loop.execute(() -> {
+            context.primaryView().recordSeen(record, loop.now());
+            look();
+        });
+    }
+
     /** Returns the level paid for. */
     public PaidLevel paidLevel() {
         return context.usage().paid();
@@ -328,8 +335,8 @@
     private Target target(EndpointSettings endpoint, int share) {
         ConnectionPoolState pool =
                 ConnectionPoolState.create(environment.policies().sizing(), share, environment.random());
-        EndpointLink link = new EndpointLink(
-                endpoint, environment.endpoints(), pool, loop, environment.wallClock(), new Events());
+        EndpointLink link =
+                new EndpointLink(endpoint, environment.endpoints(), pool, loop, environment.wallClock(), new Events());
         return new Target(
                 link, environment.policies().limit().apply(endpoint.slots(), Math.max(1, pool.trafficShare())), loop);
     }
@@ -337,7 +344,9 @@
     private void askStatus(EndpointName endpoint) {
         context.target(endpoint)
                 .ifPresent(target -> target.link()
-                        .control(connection -> connection.status(PromotionTimings.DEFAULT.endpointTimeout()), answer -> {}));
+                        .control(
+                                connection -> connection.status(PromotionTimings.DEFAULT.endpointTimeout()),
+                                answer -> {}));
     }
 
     private void upkeep() {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/Policies.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/Policies.java
@@ -57,7 +57,8 @@
     /** Returns the baselines: first in first out, fixed limits and pools, reads at the primary, no spending limit. */
     public static Policies baseline() {
         return new Policies(
-                service -> FifoAdmissionQueue.create(QUEUE_CAPACITY * service.ranks().size()),
+                service -> FifoAdmissionQueue.create(
+                        QUEUE_CAPACITY * service.ranks().size()),
                 (slots, connections) -> FixedLimit.of(Math.max(1, connections), connections),
                 PrimaryOnlyRouting.create(),
                 service -> UnlimitedSpending.create(),
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/RecordRefresher.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/RecordRefresher.java
@@ -57,7 +57,9 @@
             if (answer.isRight()) {
                 listener.accept(answer.get().record(), askedAt);
             } else {
-                LOG.debugf("[group] %s: no group record: %s", group.name(), answer.getLeft().detail());
+                LOG.debugf(
+                        "[group] %s: no group record: %s",
+                        group.name(), answer.getLeft().detail());
             }
         });
     }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/SingleRunner.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/SingleRunner.java
@@ -53,10 +53,9 @@
     /** Starts work that was taken from the queue. */
     void start(Pending pending, Target target) {
         WorkItem item = pending.item();
-        Optional<Term> term =
-                item.access() == Access.READ || !needsTerm(pending.work())
-                        ? Optional.empty()
-                        : Optional.of(context.primaryView().term());
+        Optional<Term> term = item.access() == Access.READ || !needsTerm(pending.work())
+                ? Optional.empty()
+                : Optional.of(context.primaryView().term());
         Attempt attempt = new Attempt(pending, target, term, context.loop().now());
         target.started();
         target.link().acquire(acquired -> {
@@ -101,8 +100,7 @@
                         answer -> answered(attempt, connection, sentAt, answer));
     }
 
-    private void answered(
-            Attempt attempt, long connection, Duration sentAt, Either<Failure, EndpointReply> answer) {
+    private void answered(Attempt attempt, long connection, Duration sentAt, Either<Failure, EndpointReply> answer) {
         Target target = attempt.target;
         if (answer.isLeft()) {
             target.timedOut(sentAt);
@@ -159,7 +157,8 @@
             requeue.accept(pending);
         } else {
             pending.fail(WorkFailure.of(
-                    ErrorKind.RETRY_BUDGET_EXHAUSTED, "The endpoint gave no answer, and too many requests are retried."));
+                    ErrorKind.RETRY_BUDGET_EXHAUSTED,
+                    "The endpoint gave no answer, and too many requests are retried."));
         }
     }
 
@@ -193,7 +192,8 @@
     private void done(Attempt attempt, EndpointReply reply) {
         Pending pending = attempt.pending;
         Work work = pending.work();
-        context.queue().completed(pending.item(), attempt.started, context.loop().now());
+        context.queue()
+                .completed(pending.item(), attempt.started, context.loop().now());
         LogPoint point = reply.status().point();
         WorkAnswer answer = new WorkAnswer(
                 reply.results().orElse(new byte[] {'[', ']'}),
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/StartPlanner.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/StartPlanner.java
@@ -58,8 +58,7 @@
     @Override
     public boolean mayStart(WorkItem item) {
         Pending pending = state.pending(item.id());
-        Optional<Plan> plan =
-                item.access() == Access.READ ? planRead(pending, item) : planPrimary(pending, item);
+        Optional<Plan> plan = item.access() == Access.READ ? planRead(pending, item) : planPrimary(pending, item);
         plan.ifPresent(made -> plans.put(item.id(), made));
         return plan.isPresent();
     }
@@ -67,7 +66,9 @@
     private Optional<Plan> planPrimary(Pending pending, WorkItem item) {
         PrimaryView view = state.primaryView();
         Optional<Target> primary = view.primary().flatMap(state::target);
-        if (primary.isEmpty() || !view.usable(state.loop().now()) || !primary.get().usable()) {
+        if (primary.isEmpty()
+                || !view.usable(state.loop().now())
+                || !primary.get().usable()) {
             pending.obstacle(Failure.of(ErrorKind.NO_PRIMARY, "The database group has no reachable primary."));
             return Optional.empty();
         }
@@ -119,8 +120,8 @@
     private Route route(Pending pending, boolean mayOpen) {
         Optional<EndpointName> primary = state.primaryView().primary();
         Collection<EndpointView> views = state.targets().stream()
-                .map(target -> target.view(
-                        primary.filter(target.name()::equals).isPresent(), mayOpen, wallClock.instant()))
+                .map(target ->
+                        target.view(primary.filter(target.name()::equals).isPresent(), mayOpen, wallClock.instant()))
                 .toList();
         ReadNeeds needs = new ReadNeeds(
                 pending.work().minimumPoint(),
@@ -132,14 +133,14 @@
 
     /** An endpoint without any traffic connection gets one in any case, since its work would never start otherwise. */
     private boolean mayOpen(Target target, Demand demand) {
-        return target.hasRoom(true) && (target.link().trafficConnections() == 0 || state.usage().mayOpen(demand));
+        return target.hasRoom(true)
+                && (target.link().trafficConnections() == 0 || state.usage().mayOpen(demand));
     }
 
     private Demand demand(WorkItem item, Target target) {
         AdmissionQueue queue = state.queue();
-        Duration wait = target.link().trafficConnections() == 0
-                ? ENDLESS
-                : queue.expectedWait(item.rank(), item.access());
+        Duration wait =
+                target.link().trafficConnections() == 0 ? ENDLESS : queue.expectedWait(item.rank(), item.access());
         return demand(item, wait, target.latency());
     }
 
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/TransactionRunner.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/TransactionRunner.java
@@ -100,8 +100,8 @@
             return;
         }
         if (transaction.busy()) {
-            pending.fail(WorkFailure.of(
-                    ErrorKind.MALFORMED_REQUEST, "Another request of the transaction is under way."));
+            pending.fail(
+                    WorkFailure.of(ErrorKind.MALFORMED_REQUEST, "Another request of the transaction is under way."));
             return;
         }
         transaction.stepStarts();
@@ -193,8 +193,7 @@
         } else {
             Duration now = context.loop().now();
             context.primaryView().hold(transaction.term(), now.plus(SingleRunner.HOLD));
-            pending.obstacle(
-                    Failure.of(ErrorKind.NO_PRIMARY, "The primary of the database group is being replaced."));
+            pending.obstacle(Failure.of(ErrorKind.NO_PRIMARY, "The primary of the database group is being replaced."));
             refreshRecord.run();
             requeue.accept(pending);
         }
@@ -204,8 +203,8 @@
         TransactionStep step = pending.work().step();
         if (answer.isLeft()) {
             abort(transaction, ReleaseState.TIMED_OUT);
-            boolean mayBeCommitted = step == TransactionStep.COMMIT
-                    && answer.getLeft().kind().execution() != Execution.NOT_RUN;
+            boolean mayBeCommitted =
+                    step == TransactionStep.COMMIT && answer.getLeft().kind().execution() != Execution.NOT_RUN;
             if (mayBeCommitted) {
                 pending.fail(WorkFailure.of(ErrorKind.OUTCOME_UNKNOWN, "The endpoint gave no answer to the commit."));
             } else if (step == TransactionStep.ROLLBACK) {
@@ -270,16 +269,14 @@
     private WorkAnswer answer(byte[] results, OpenTransaction transaction, Optional<EndpointReply> reply) {
         return new WorkAnswer(
                 results,
-                reply.map(known -> known.status().point())
-                        .orElse(new LogPoint(transaction.term(), 0)),
+                reply.map(known -> known.status().point()).orElse(new LogPoint(transaction.term(), 0)),
                 transaction.target().name(),
                 true,
                 false,
                 Optional.empty());
     }
 
-    private WorkAnswer answer(
-            byte[] results, OpenTransaction transaction, Optional<EndpointReply> reply, Work work) {
+    private WorkAnswer answer(byte[] results, OpenTransaction transaction, Optional<EndpointReply> reply, Work work) {
         WorkAnswer plain = answer(results, transaction, reply);
         return new WorkAnswer(
                 plain.results(),
@@ -292,8 +289,7 @@
 
     private void stays(OpenTransaction transaction) {
         if (open.containsKey(transaction.id())) {
-            transaction.stepEnded(
-                    context.loop(), IDLE_BOUND, () -> abort(transaction, ReleaseState.OPEN_TRANSACTION));
+            transaction.stepEnded(context.loop(), IDLE_BOUND, () -> abort(transaction, ReleaseState.OPEN_TRANSACTION));
         }
     }
 
