--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/admission/RankedAdmissionQueue.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/admission/RankedAdmissionQueue.java
@@ -143,11 +143,11 @@
     }
 
     private void start(WorkItem item, List<RankQueue> startable, boolean byFloor, Duration now) {
+        RankQueue served = ranks.get(order.get(item.rank()));
+        served.pay(item.statements(), byFloor);
         for (RankQueue rank : startable) {
             rank.earn(item.statements());
         }
-        RankQueue served = ranks.get(order.get(item.rank()));
-        served.pay(item.statements(), byFloor);
         waiting.remove(item.id());
         byDeadline.remove(item);
         served.lane(item.access()).served(item, now);
