--- /dev/null
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/connections/ConnectionPoolPropertyTest.java
@@ -0,0 +1,138 @@
+package org.lavenderwick.core.connections;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Drives a pool with random events and keeps its own books on every connection. */
+class ConnectionPoolPropertyTest {
+
+    private final Set<Long> idle = new HashSet<>();
+    private final Set<Long> inUse = new HashSet<>();
+    private final Set<Long> unclean = new HashSet<>();
+    private final Map<Long, Purpose> purposes = new HashMap<>();
+    private Optional<Long> opening = Optional.empty();
+
+    /**
+     * Guards against a connection with two users, the reuse of one with an open transaction or an unmatched answer, two
+     * opens at once, and more connections than the share.
+     */
+    @Property(tries = 500, seed = "271828")
+    void everyConnectionHasAtMostOneUser(@ForAll long seed) {
+        reset();
+        Random random = new Random(seed);
+        PoolSizing sizing = random.nextBoolean() ? FixedSizing.create() : OnDemandSizing.of(Duration.ofSeconds(3));
+        int share = random.nextInt(6);
+        ConnectionPoolState pool = ConnectionPoolState.create(sizing, share, random);
+        Duration now = Duration.ZERO;
+        for (int step = 0; step < 400; step++) {
+            now = now.plusMillis(random.nextInt(300));
+            int openBefore = pool.open();
+            switch (random.nextInt(10)) {
+                case 0 -> opening.ifPresent(id -> finishOpen(pool, id, random));
+                case 1 -> pool.shrink(Duration.ofMillis(step * 300L)).forEach(this::closedIdle);
+                case 2 -> {
+                    share = random.nextInt(6);
+                    pool.resize(share).forEach(this::closedIdle);
+                }
+                case 3 -> pool.replenish(now).ifPresent(this::startOpen);
+                case 4 -> lose(pool, random);
+                case 5, 6, 7 -> acquire(pool, random, now);
+                default -> release(pool, random, now);
+            }
+            assertThat(pool.open()).isEqualTo(idle.size() + inUse.size() + (opening.isPresent() ? 1 : 0));
+            assertThat(pool.open()).isLessThanOrEqualTo(Math.max(openBefore, share));
+            assertThat(purposes.values().stream()
+                            .filter(Purpose.CONTROL::equals)
+                            .count())
+                    .isLessThanOrEqualTo(1);
+        }
+    }
+
+    /** All tries of a property share one test instance. */
+    private void reset() {
+        idle.clear();
+        inUse.clear();
+        unclean.clear();
+        purposes.clear();
+        opening = Optional.empty();
+    }
+
+    private void acquire(ConnectionPoolState pool, Random random, Duration now) {
+        Purpose purpose = random.nextInt(4) == 0 ? Purpose.CONTROL : Purpose.TRAFFIC;
+        boolean mayOpen = random.nextInt(4) != 0;
+        PoolDecision decision = pool.acquire(purpose, () -> mayOpen, now);
+        if (decision instanceof PoolDecision.Use use) {
+            assertThat(purposes).containsEntry(use.connection(), purpose);
+            assertThat(idle.remove(use.connection())).isTrue();
+            assertThat(inUse.add(use.connection())).isTrue();
+            assertThat(unclean).doesNotContain(use.connection());
+        } else if (decision instanceof PoolDecision.Open open) {
+            assertThat(mayOpen).isTrue();
+            startOpen(open);
+        }
+    }
+
+    private void startOpen(PoolDecision.Open open) {
+        assertThat(opening).isEmpty();
+        opening = Optional.of(open.connection());
+        assertThat(purposes.put(open.connection(), open.purpose())).isNull();
+    }
+
+    private void finishOpen(ConnectionPoolState pool, long id, Random random) {
+        opening = Optional.empty();
+        if (random.nextInt(3) == 0) {
+            pool.openFailed(id, Duration.ZERO);
+            purposes.remove(id);
+        } else if (pool.opened(id, Duration.ZERO)) {
+            idle.add(id);
+        } else {
+            purposes.remove(id);
+        }
+    }
+
+    private void release(ConnectionPoolState pool, Random random, Duration now) {
+        Iterator<Long> users = List.copyOf(inUse).iterator();
+        if (users.hasNext()) {
+            long id = users.next();
+            ReleaseState state = ReleaseState.values()[random.nextInt(ReleaseState.values().length)];
+            inUse.remove(id);
+            if (state != ReleaseState.CLEAN) {
+                unclean.add(id);
+            }
+            boolean kept = pool.release(id, state, now);
+            assertThat(kept && state != ReleaseState.CLEAN).isFalse();
+            if (kept) {
+                idle.add(id);
+            } else {
+                purposes.remove(id);
+            }
+        }
+    }
+
+    private void lose(ConnectionPoolState pool, Random random) {
+        Set<Long> from = random.nextBoolean() ? idle : inUse;
+        List.copyOf(from).stream().findFirst().ifPresent(id -> {
+            pool.lost(id);
+            from.remove(id);
+            purposes.remove(id);
+            assertThat(pool.release(id, ReleaseState.CLEAN, Duration.ZERO)).isFalse();
+        });
+    }
+
+    private void closedIdle(long id) {
+        assertThat(idle.remove(id)).isTrue();
+        purposes.remove(id);
+    }
+}
