--- /dev/null
+++ b/lavenderwick-benchmarks/src/main/java/org/lavenderwick/benchmarks/ShortBenchmarks.java
@@ -0,0 +1,34 @@
+package org.lavenderwick.benchmarks;
+
+import org.openjdk.jmh.results.format.ResultFormatType;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.CommandLineOptionException;
+import org.openjdk.jmh.runner.options.CommandLineOptions;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
+import org.openjdk.jmh.runner.options.TimeValue;
+
+/**
+ * Runs the benchmarks briefly: one fork, 2 warm-up and 3 measured iterations of 300 ms. Arguments are those of JMH and
+ * take precedence. A forked run needs the whole class path in {@code java.class.path}, which {@code java -cp} provides.
+ */
+public final class ShortBenchmarks {
+
+    private static final TimeValue ITERATION = TimeValue.milliseconds(300);
+
+    private ShortBenchmarks() {}
+
+    /** Runs the benchmarks that the arguments select, or all. */
+    public static void main(String[] args) throws RunnerException, CommandLineOptionException {
+        OptionsBuilder options = new OptionsBuilder();
+        options.parent(new CommandLineOptions(args));
+        CommandLineOptions given = new CommandLineOptions(args);
+        options.forks(given.getForkCount().orElse(1));
+        options.warmupIterations(given.getWarmupIterations().orElse(2));
+        options.warmupTime(given.getWarmupTime().orElse(ITERATION));
+        options.measurementIterations(given.getMeasurementIterations().orElse(3));
+        options.measurementTime(given.getMeasurementTime().orElse(ITERATION));
+        options.resultFormat(given.getResultFormat().orElse(ResultFormatType.TEXT));
+        new Runner(options.build()).run();
+    }
+}
--- /dev/null
+++ b/lavenderwick-benchmarks/src/main/java/org/lavenderwick/benchmarks/package-info.java
@@ -0,0 +1,2 @@
+/** JMH benchmarks of the decisions on the path of a request. */
+package org.lavenderwick.benchmarks;
