--- a/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/caller/CallerServer.java
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/caller/CallerServer.java
@@ -111,16 +111,18 @@
                 refuse(response, callback, ErrorKind.MALFORMED_REQUEST, "The content type is not application/json.");
                 return true;
             }
-            Content.Source.asByteArrayAsync(request, maxBodyBytes + 1, Promise.Invocable.from(
-                    Invocable.InvocationType.NON_BLOCKING, (body, error) -> {
-                if (error instanceof IllegalStateException || (body != null && body.length > maxBodyBytes)) {
-                    refuse(response, callback, ErrorKind.REQUEST_TOO_LARGE, tooLarge());
-                } else if (error != null) {
-                    callback.failed(error);
-                } else {
-                    serve(Request.getPathInContext(request), body, response, callback);
-                }
-            }));
+            Content.Source.asByteArrayAsync(
+                    request,
+                    maxBodyBytes + 1,
+                    Promise.Invocable.from(Invocable.InvocationType.NON_BLOCKING, (body, error) -> {
+                        if (error instanceof IllegalStateException || (body != null && body.length > maxBodyBytes)) {
+                            refuse(response, callback, ErrorKind.REQUEST_TOO_LARGE, tooLarge());
+                        } else if (error != null) {
+                            callback.failed(error);
+                        } else {
+                            serve(Request.getPathInContext(request), body, response, callback);
+                        }
+                    }));
             return true;
         }
 
--- a/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/operator/OperatorServer.java
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/operator/OperatorServer.java
@@ -125,26 +125,29 @@
         }
 
         private void promote(Request request, Response response, Callback callback) {
-            Content.Source.asByteArrayAsync(request, MAX_BODY_BYTES, Promise.Invocable.from(
-                    Invocable.InvocationType.NON_BLOCKING, (body, error) -> {
-                if (error != null) {
-                    refuse(
-                            response,
-                            callback,
-                            Failure.of(ErrorKind.MALFORMED_REQUEST, "The body cannot be read or is too large."));
-                    return;
-                }
-                order(body).whenComplete((result, failed) -> {
-                    if (failed != null) {
-                        LOG.errorf(failed, "[operator] A promotion order failed.");
-                        refuse(response, callback, Failure.of(ErrorKind.INTERNAL_ERROR, "The proxy failed."));
-                    } else if (result.isLeft()) {
-                        refuse(response, callback, result.getLeft());
-                    } else {
-                        accept(response, callback, result.get());
-                    }
-                });
-            }));
+            Content.Source.asByteArrayAsync(
+                    request,
+                    MAX_BODY_BYTES,
+                    Promise.Invocable.from(Invocable.InvocationType.NON_BLOCKING, (body, error) -> {
+                        if (error != null) {
+                            refuse(
+                                    response,
+                                    callback,
+                                    Failure.of(
+                                            ErrorKind.MALFORMED_REQUEST, "The body cannot be read or is too large."));
+                            return;
+                        }
+                        order(body).whenComplete((result, failed) -> {
+                            if (failed != null) {
+                                LOG.errorf(failed, "[operator] A promotion order failed.");
+                                refuse(response, callback, Failure.of(ErrorKind.INTERNAL_ERROR, "The proxy failed."));
+                            } else if (result.isLeft()) {
+                                refuse(response, callback, result.getLeft());
+                            } else {
+                                accept(response, callback, result.get());
+                            }
+                        });
+                    }));
         }
 
         private CompletableFuture<Either<Failure, String>> order(byte[] body) {
--- a/lavenderwick-adapters/src/test/java/org/lavenderwick/adapters/caller/CallerServerTest.java
+++ b/lavenderwick-adapters/src/test/java/org/lavenderwick/adapters/caller/CallerServerTest.java
@@ -45,10 +45,14 @@
 
     @BeforeEach
     void start() throws Exception {
-        server = CallerServer.start(new InetSocketAddress("127.0.0.1", 0), request -> {
-            seen.add(request);
-            return CompletableFuture.completedFuture(next);
-        }, MAX_BODY_BYTES, Duration.ofSeconds(10));
+        server = CallerServer.start(
+                new InetSocketAddress("127.0.0.1", 0),
+                request -> {
+                    seen.add(request);
+                    return CompletableFuture.completedFuture(next);
+                },
+                MAX_BODY_BYTES,
+                Duration.ofSeconds(10));
     }
 
     @AfterEach
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/Daemon.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/Daemon.java
@@ -206,8 +206,8 @@
         GroupRecords records = GroupRecords.on(platform);
         // Each thread that asks uses its own generator.
         RandomGenerator random = () -> ThreadLocalRandom.current().nextLong();
-        ControlContext context = new ControlContext(
-                self, threads.control(), platform, records, InstantSource.system(), random);
+        ControlContext context =
+                new ControlContext(self, threads.control(), platform, records, InstantSource.system(), random);
         GroupEnvironment environment = new GroupEnvironment(
                 endpoints,
                 records,
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/DaemonMetrics.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/DaemonMetrics.java
@@ -39,7 +39,8 @@
     }
 
     /** Adds gauges that read the state of the daemon when they are scraped. */
-    void watch(LongSupplier configurationVersion, LongSupplier seatTableVersion, IntSupplier inFlight, IntSupplier peers) {
+    void watch(
+            LongSupplier configurationVersion, LongSupplier seatTableVersion, IntSupplier inFlight, IntSupplier peers) {
         Gauge.builder("lavenderwick_configuration_version", configurationVersion::getAsLong)
                 .register(registry);
         Gauge.builder("lavenderwick_seat_table_version", seatTableVersion::getAsLong)
@@ -53,8 +54,9 @@
         terms.register(rows(groups, GroupReport::term), true);
         paid.register(rows(groups, GroupReport::paidLoad), true);
         List<MultiGauge.Row<?>> queuedRows = new ArrayList<>();
-        groups.forEach(group -> group.queued().forEach((rank, count) -> queuedRows.add(
-                MultiGauge.Row.of(Tags.of("group", group.group().value(), "rank", rank), count))));
+        groups.forEach(group -> group.queued()
+                .forEach((rank, count) -> queuedRows.add(
+                        MultiGauge.Row.of(Tags.of("group", group.group().value(), "rank", rank), count))));
         queued.register(queuedRows, true);
         connections.register(endpointRows(groups, GroupReport.EndpointReport::connections), true);
         outstanding.register(endpointRows(groups, GroupReport.EndpointReport::outstanding), true);
@@ -64,8 +66,8 @@
 
     private static List<MultiGauge.Row<?>> rows(List<GroupReport> groups, ToDoubleFunction<GroupReport> value) {
         List<MultiGauge.Row<?>> rows = new ArrayList<>();
-        groups.forEach(group -> rows.add(
-                MultiGauge.Row.of(Tags.of("group", group.group().value()), value.applyAsDouble(group))));
+        groups.forEach(group ->
+                rows.add(MultiGauge.Row.of(Tags.of("group", group.group().value()), value.applyAsDouble(group))));
         return rows;
     }
 
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/DaemonThreads.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/DaemonThreads.java
@@ -32,9 +32,14 @@
         }
         answers = Executors.newFixedThreadPool(
                 Math.max(1, trafficThreads - loops),
-                new ThreadFactoryBuilder().setNameFormat("answer-%d").setDaemon(true).build());
-        timer = Executors.newSingleThreadScheduledExecutor(
-                new ThreadFactoryBuilder().setNameFormat("timer").setDaemon(true).build());
+                new ThreadFactoryBuilder()
+                        .setNameFormat("answer-%d")
+                        .setDaemon(true)
+                        .build());
+        timer = Executors.newSingleThreadScheduledExecutor(new ThreadFactoryBuilder()
+                .setNameFormat("timer")
+                .setDaemon(true)
+                .build());
     }
 
     static DaemonThreads start(int trafficThreads) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/ControlPlane.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/ControlPlane.java
@@ -76,13 +76,8 @@
         this.configurations = new ConfigurationDriver(configuration, documents, installed -> configurationInstalled());
         FailureDomain domain = parts.failureDomain();
         SeatClaim claim = SeatClaim.create(
-                context.self().daemon(),
-                context.self().incarnation(),
-                domain,
-                parts.peerAddress(),
-                context.random());
-        SeatRetirement retirement =
-                SeatRetirement.create(context.self().daemon(), domain, context.random());
+                context.self().daemon(), context.self().incarnation(), domain, parts.peerAddress(), context.random());
+        SeatRetirement retirement = SeatRetirement.create(context.self().daemon(), domain, context.random());
         this.seat = new SeatDriver(control, claim, retirement, seats, context.platform(), new SeatEvents());
         this.exchange = new ExchangeDriver(
                 context.self(),
@@ -107,18 +102,15 @@
     }
 
     private PlatformWatch watch(
-            String key,
-            FailureDomain domain,
-            BooleanSupplier needsFirst,
-            Consumer<VersionedValue> listener) {
+            String key, FailureDomain domain, BooleanSupplier needsFirst, Consumer<VersionedValue> listener) {
         return new PlatformWatch(
                 context.platform(), key, control, context.random(), () -> watches(domain), needsFirst, listener);
     }
 
     private boolean watches(FailureDomain domain) {
         return seats.table().watchers(domain).stream()
-                .anyMatch(held -> held.isHeldBy(
-                        context.self().daemon(), context.self().incarnation()));
+                .anyMatch(held ->
+                        held.isHeldBy(context.self().daemon(), context.self().incarnation()));
     }
 
     /** Starts to claim a seat, to follow the documents and to talk to peers. */
@@ -152,8 +144,7 @@
 
     /** Returns the state of the owned groups. */
     public CompletableFuture<List<GroupReport>> reports() {
-        return onControl(groups::all)
-                .thenCompose(ControlPlane::reports);
+        return onControl(groups::all).thenCompose(ControlPlane::reports);
     }
 
     private static CompletableFuture<List<GroupReport>> reports(Collection<OwnedGroup> owned) {
@@ -172,7 +163,8 @@
             }
             return configuration.require().flatMap(current -> {
                 if (!current.groups().containsKey(group)) {
-                    return Either.left(Failure.of(ErrorKind.UNKNOWN_GROUP, "There is no database group " + group + "."));
+                    return Either.left(
+                            Failure.of(ErrorKind.UNKNOWN_GROUP, "There is no database group " + group + "."));
                 }
                 String owner = seats.owners().ownersOf(current.groups().get(group)).stream()
                         .findFirst()
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/ExchangeDriver.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/ExchangeDriver.java
@@ -98,7 +98,8 @@
             news.seen(request.getNews());
         }
         Digest peer = WireDocuments.digest(request.getDigest());
-        seats.table().seatOf(DaemonName.of(request.getDaemon()))
+        seats.table()
+                .seatOf(DaemonName.of(request.getDaemon()))
                 .ifPresent(seat -> exchange.onDigest(seat.address(), peer));
         if (request.getFailureDomain().equals(domain.value())) {
             news.peerOfOwnDomain(peer.seatTableVersion());
@@ -139,9 +140,8 @@
             news.seen(response.getNews());
         }
         Digest peer = WireDocuments.digest(response.getDigest());
-        boolean ownDomain = seats.table().seatsIn(domain).stream()
-                .map(Seat::address)
-                .anyMatch(contact.address()::equals);
+        boolean ownDomain =
+                seats.table().seatsIn(domain).stream().map(Seat::address).anyMatch(contact.address()::equals);
         if (ownDomain) {
             news.peerOfOwnDomain(peer.seatTableVersion());
         }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/OwnedGroup.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/OwnedGroup.java
@@ -40,7 +40,8 @@
         GroupExecutor executor =
                 GroupExecutor.start(environment, traffic, placement, new Observer(context.control(), promotion));
         promotion.start(executor);
-        PaidLevelDriver paidLevel = new PaidLevelDriver(context, placement.group().name(), executor);
+        PaidLevelDriver paidLevel =
+                new PaidLevelDriver(context, placement.group().name(), executor);
         paidLevel.start();
         return new OwnedGroup(executor, promotion, paidLevel);
     }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/OwnedGroups.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/OwnedGroups.java
@@ -61,8 +61,11 @@
     void apply(Configuration configuration, Owners owners, boolean seatUsable) {
         Map<GroupName, GroupPlacement> wanted = new HashMap<>();
         if (seatUsable) {
-            configuration.groups().values().forEach(group -> placement(configuration, group, owners)
-                    .ifPresent(placement -> wanted.put(group.name(), placement)));
+            configuration
+                    .groups()
+                    .values()
+                    .forEach(group -> placement(configuration, group, owners)
+                            .ifPresent(placement -> wanted.put(group.name(), placement)));
         }
         ImmutableMap<GroupName, OwnedGroup> before = owned;
         ImmutableMap.Builder<GroupName, OwnedGroup> next = ImmutableMap.builder();
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/PromotionDriver.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/PromotionDriver.java
@@ -52,12 +52,12 @@
     }
 
     void update(GroupPlacement changed) {
-        boolean sameEndpoints =
-                names(changed).equals(names(placement));
+        boolean sameEndpoints = names(changed).equals(names(placement));
         placement = changed;
         if (!sameEndpoints) {
             monitor = monitor(changed);
-            record.ifPresent(known -> monitor.recordSeen(known, context.control().now()));
+            record.ifPresent(
+                    known -> monitor.recordSeen(known, context.control().now()));
         }
     }
 
@@ -68,7 +68,8 @@
     }
 
     void recordSeen(GroupRecord seen) {
-        boolean newer = record.map(known -> seen.term().compareTo(known.term()) >= 0).orElse(true);
+        boolean newer =
+                record.map(known -> seen.term().compareTo(known.term()) >= 0).orElse(true);
         if (newer) {
             record = Optional.of(seen);
         }
@@ -124,11 +125,11 @@
         for (MonitorAction action : actions) {
             if (action instanceof MonitorAction.Probe probe) {
                 executor.control(
-                        probe.endpoint(),
-                        connection -> connection.status(PromotionTimings.DEFAULT.probeInterval()));
+                        probe.endpoint(), connection -> connection.status(PromotionTimings.DEFAULT.probeInterval()));
             } else if (action instanceof MonitorAction.StartPromotion start) {
                 if (running.isEmpty()) {
-                    LOG.warnf("[promotion] %s: the primary of term %s does not answer.",
+                    LOG.warnf(
+                            "[promotion] %s: the primary of term %s does not answer.",
                             placement.group().name(), start.term());
                     begin(new PromotionRequest.Unplanned(start.term()));
                 }
@@ -141,11 +142,10 @@
     }
 
     private void begin(PromotionRequest request) {
-        PromotionRun run =
-                new PromotionRun(context, placement.group().name(), names(placement), executor, finished -> {
-                    running = Optional.empty();
-                    finished.ifPresent(this::recordSeen);
-                });
+        PromotionRun run = new PromotionRun(context, placement.group().name(), names(placement), executor, finished -> {
+            running = Optional.empty();
+            finished.ifPresent(this::recordSeen);
+        });
         running = Optional.of(run);
         run.start(request);
     }
@@ -155,6 +155,8 @@
     }
 
     private static List<EndpointName> names(GroupPlacement placement) {
-        return placement.group().endpoints().stream().map(EndpointSettings::name).toList();
+        return placement.group().endpoints().stream()
+                .map(EndpointSettings::name)
+                .toList();
     }
 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/PromotionRun.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/PromotionRun.java
@@ -153,7 +153,10 @@
         if (answer.isRight()) {
             LOG.infof(
                     "[promotion] %s: term %s is %s with %s.",
-                    group, write.record().term(), write.record().state(), write.record().primary());
+                    group,
+                    write.record().term(),
+                    write.record().state(),
+                    write.record().primary());
             perform(coordinator.writeAccepted(write.call(), answer.get(), now()));
         } else if (answer.getLeft().kind() == ErrorKind.VERSION_CONFLICT) {
             perform(coordinator.writeConflicted(write.call(), now()));
@@ -173,10 +176,7 @@
 
     private void call(
             PromotionAction.EndpointCall action,
-            Function<
-                            EndpointConnection,
-                            CompletableFuture<Either<Failure, EndpointStatus>>>
-                    call) {
+            Function<EndpointConnection, CompletableFuture<Either<Failure, EndpointStatus>>> call) {
         context.control().deliver(executor.control(action.endpoint(), call), answer -> {
             if (answer.isRight()) {
                 perform(coordinator.endpointAnswered(action, PromotionDriver.report(answer.get()), now()));
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/SeatCalls.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/SeatCalls.java
@@ -154,6 +154,5 @@
         return failure.kind() == ErrorKind.VERSION_CONFLICT;
     }
 
-    private record Reads(
-            Either<Failure, Optional<VersionedValue>> value, Either<Failure, List<HostEntry>> hosts) {}
+    private record Reads(Either<Failure, Optional<VersionedValue>> value, Either<Failure, List<HostEntry>> hosts) {}
 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/SeatDriver.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/SeatDriver.java
@@ -20,8 +20,8 @@
 import org.lavenderwick.daemon.group.EventLoop;
 
 /**
- * Claims and keeps the seat of this daemon, and removes the seats of dead daemons of its failure domain. Confined to the
- * control thread.
+ * Claims and keeps the seat of this daemon, and removes the seats of dead daemons of its failure domain. Confined to
+ * the control thread.
  */
 final class SeatDriver {
     private static final Duration TICK = Duration.ofSeconds(1);
@@ -106,7 +106,9 @@
 
     private void install(SeatTable table) {
         if (holder.install(table)) {
-            LOG.infof("[membership] Seat table %d with %d seats is in force.", table.version(), table.seats().size());
+            LOG.infof(
+                    "[membership] Seat table %d with %d seats is in force.",
+                    table.version(), table.seats().size());
             events.tableInstalled(table);
         }
     }
@@ -127,8 +129,7 @@
 
     private final class ClaimMachine implements SeatCalls.Machine {
         @Override
-        public List<SeatAction> onRead(
-                Duration now, Optional<SeatTable> table, long revision, Set<DaemonName> live) {
+        public List<SeatAction> onRead(Duration now, Optional<SeatTable> table, long revision, Set<DaemonName> live) {
             return claim.onRead(now, table, revision, live);
         }
 
@@ -159,8 +160,7 @@
 
     private final class RetirementMachine implements SeatCalls.Machine {
         @Override
-        public List<SeatAction> onRead(
-                Duration now, Optional<SeatTable> table, long revision, Set<DaemonName> live) {
+        public List<SeatAction> onRead(Duration now, Optional<SeatTable> table, long revision, Set<DaemonName> live) {
             return retirement.onRead(now, table, revision, live);
         }
 
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/entry/OwnerRelay.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/entry/OwnerRelay.java
@@ -128,15 +128,16 @@
             List<Seat> candidates = choice.owners(owners);
             Optional<Seat> owner = candidates.stream()
                     .filter(seat -> !tried.contains(seat.address()))
-                    .min((first, second) -> Boolean.compare(
-                            health.suspected(first.address()), health.suspected(second.address())));
+                    .min((first, second) ->
+                            Boolean.compare(health.suspected(first.address()), health.suspected(second.address())));
             if (owner.isPresent()) {
                 tried.add(owner.get().address());
                 boolean fallback = !owner.get().equals(candidates.get(0));
                 attempt(owner.get(), owners.table().version(), fallback);
             } else if (candidates.isEmpty() && choice.fixed()) {
                 fail(Failure.of(
-                        ErrorKind.UNKNOWN_TRANSACTION, "The daemon that ran the transaction has ended; it rolled back."));
+                        ErrorKind.UNKNOWN_TRANSACTION,
+                        "The daemon that ran the transaction has ended; it rolled back."));
             } else if (round < ROUNDS) {
                 round++;
                 tried.clear();
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/entry/RequestRouter.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/entry/RequestRouter.java
@@ -87,7 +87,8 @@
         Either<Failure, SessionTokenCodec> codec = configuration.require().flatMap(sessions::codec);
         Either<Failure, Checked> checked =
                 codec.flatMap(known -> check(request, configuration.require().get(), known, arrival));
-        String rank = checked.fold(failure -> "", known -> known.work.rank().map(Object::toString).orElse(""));
+        String rank = checked.fold(
+                failure -> "", known -> known.work.rank().map(Object::toString).orElse(""));
         CompletableFuture<Either<CallerRefusal, CallerAnswer>> answer = checked.isLeft()
                 ? CompletableFuture.completedFuture(Either.left(CallerRefusal.of(checked.getLeft())))
                 : run(checked.get(), codec.get());
@@ -130,10 +131,7 @@
     }
 
     private static Either<Failure, GroupSettings> names(
-            Configuration current,
-            ServiceName service,
-            GroupName group,
-            RankName rank) {
+            Configuration current, ServiceName service, GroupName group, RankName rank) {
         ServiceSettings settings = current.services().get(service);
         if (settings == null) {
             return Either.left(Failure.of(ErrorKind.UNKNOWN_SERVICE, "There is no service " + service + "."));
@@ -144,8 +142,7 @@
                     ErrorKind.UNKNOWN_GROUP, "Service " + service + " has no database group " + group + "."));
         }
         if (settings.rank(rank).isEmpty()) {
-            return Either.left(
-                    Failure.of(ErrorKind.UNKNOWN_RANK, "Service " + service + " has no rank " + rank + "."));
+            return Either.left(Failure.of(ErrorKind.UNKNOWN_RANK, "Service " + service + " has no rank " + rank + "."));
         }
         return Either.right(known);
     }
@@ -160,8 +157,8 @@
             return Either.left(noRoom());
         }
         Duration byDefault = current.services().get(group.service()).defaultMaxStaleness();
-        Optional<Duration> accepted = request.maxStaleness()
-                .or(() -> byDefault.isZero() ? Optional.empty() : Optional.of(byDefault));
+        Optional<Duration> accepted =
+                request.maxStaleness().or(() -> byDefault.isZero() ? Optional.empty() : Optional.of(byDefault));
         Work work = new Work(
                 newId(),
                 group.service(),
@@ -244,9 +241,7 @@
     private static CallerAnswer answer(Checked checked, Relayed relayed, SessionTokenCodec codec) {
         WorkAnswer answer = relayed.answer();
         Optional<SessionToken> token = answer.wrote()
-                ? Optional.of(checked.session
-                        .orElse(SessionToken.empty())
-                        .with(checked.work.group(), answer.point()))
+                ? Optional.of(checked.session.orElse(SessionToken.empty()).with(checked.work.group(), answer.point()))
                 : checked.session;
         Optional<String> handle = answer.transactionId()
                 .map(id -> codec.seal(new TransactionHandle(
@@ -264,9 +259,8 @@
     private static CallerRefusal refusal(Checked checked, WorkFailure failure, SessionTokenCodec codec) {
         Optional<String> fresh = failure.point()
                 .filter(point -> failure.failure().kind() == ErrorKind.SESSION_WRITE_LOST)
-                .map(point -> codec.seal(checked.session
-                        .orElse(SessionToken.empty())
-                        .replace(checked.work.group(), point)));
+                .map(point ->
+                        codec.seal(checked.session.orElse(SessionToken.empty()).replace(checked.work.group(), point)));
         return new CallerRefusal(failure.failure(), fresh);
     }
 
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/entry/Sessions.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/entry/Sessions.java
@@ -29,7 +29,8 @@
             prepared.set(next);
             return Either.right(next.codec);
         } catch (IllegalArgumentException e) {
-            LOG.errorf("[session] The session keys of configuration %d are of no use: %s",
+            LOG.errorf(
+                    "[session] The session keys of configuration %d are of no use: %s",
                     configuration.version(), e.getMessage());
             return Either.left(Failure.of(ErrorKind.NOT_CONFIGURED, "The configuration has no usable session key."));
         }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/entry/TransactionIds.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/entry/TransactionIds.java
@@ -5,7 +5,7 @@
 import org.lavenderwick.core.model.GroupName;
 import org.lavenderwick.core.session.TransactionHandle;
 
-/** The transaction identity in a handle: the owner's id and the database group, so that a handle is all a step needs. */
+/** The transaction identity in a handle: the id at the owner and the database group, which a step does not state. */
 final class TransactionIds {
     private static final char SEPARATOR = '/';
 
--- /dev/null
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/TestCluster.java
@@ -0,0 +1,229 @@
+package org.lavenderwick.daemon;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.lavenderwick.adapters.platform.HostEntry;
+import org.lavenderwick.adapters.settings.DaemonSettings;
+import org.lavenderwick.adapters.settings.LogFormat;
+import org.lavenderwick.adapters.settings.Timeouts;
+import org.lavenderwick.core.configuration.Configuration;
+import org.lavenderwick.core.configuration.EndpointSettings;
+import org.lavenderwick.core.configuration.GroupSettings;
+import org.lavenderwick.core.configuration.RankSettings;
+import org.lavenderwick.core.configuration.ServiceSettings;
+import org.lavenderwick.core.configuration.SessionKey;
+import org.lavenderwick.core.model.DaemonName;
+import org.lavenderwick.core.model.EndpointName;
+import org.lavenderwick.core.model.FailureDomain;
+import org.lavenderwick.core.model.GroupName;
+import org.lavenderwick.core.model.RankName;
+import org.lavenderwick.core.model.ServiceName;
+import org.lavenderwick.standins.GroupEmulator;
+import org.lavenderwick.standins.HistoryEvent;
+import org.lavenderwick.standins.StandinFleet;
+
+/** Daemons in three failure domains in front of stand-ins: one group of three endpoints. */
+final class TestCluster implements AutoCloseable {
+    static final GroupName GROUP = GroupName.of("ledger");
+    static final String STATEMENTS = "/v1/services/orders/groups/ledger/statements";
+    static final String TRANSACTIONS = "/v1/services/orders/groups/ledger/transactions";
+
+    /** Bound of every wait for something that must happen; a failing test may take this long. */
+    private static final Duration PATIENCE = Duration.ofSeconds(40);
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final List<HistoryEvent> history = new ArrayList<>();
+    private final List<Daemon> daemons = new ArrayList<>();
+    private final StandinFleet fleet;
+    private final HttpClient client = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofSeconds(5))
+            .build();
+
+    private TestCluster() {
+        ServiceName service = ServiceName.of("orders");
+        List<RankSettings> ranks = List.of(
+                new RankSettings(RankName.of("urgent"), Duration.ofMillis(50), 10, 0.3),
+                new RankSettings(RankName.of("later"), Duration.ofSeconds(2), 1, 0.1));
+        List<EndpointSettings> endpoints = new ArrayList<>();
+        for (int i = 1; i <= 3; i++) {
+            endpoints.add(new EndpointSettings(
+                    EndpointName.of("ledger-" + i), FailureDomain.of("domain-" + i), "127.0.0.1:0", 20, 3));
+        }
+        Configuration configuration = new Configuration(
+                1,
+                Map.of(service, new ServiceSettings(service, ranks, Duration.ZERO)),
+                Map.of(GROUP, new GroupSettings(GROUP, service, endpoints)),
+                List.of(),
+                List.of(new SessionKey("k1", Base64.getEncoder().encodeToString(new byte[32]))));
+        fleet = StandinFleet.start(
+                configuration, StandinFleet.Options.standard().withHistory(this::record));
+        fleet.publishConfiguration();
+    }
+
+    /** Starts stand-ins and the given number of daemons, placed in the failure domains in turn, and waits for all. */
+    static TestCluster start(int daemonCount) throws Exception {
+        TestCluster cluster = new TestCluster();
+        for (int i = 0; i < daemonCount; i++) {
+            cluster.addDaemon(i);
+        }
+        long seats = daemonCount;
+        for (Daemon daemon : cluster.daemons) {
+            cluster.await(
+                    "seats and configuration",
+                    daemon::status,
+                    status -> status.ready() && status.seat().isPresent() && status.seatTableVersion() >= seats);
+        }
+        return cluster;
+    }
+
+    private void addDaemon(int index) throws Exception {
+        int block = index % 3 + 1;
+        String address = "127.0." + block + "." + (10 + index);
+        DaemonSettings settings = new DaemonSettings(
+                DaemonName.of("daemon-" + index),
+                FailureDomain.of("domain-" + block),
+                address,
+                0,
+                0,
+                0,
+                fleet.platform().address(),
+                List.of(),
+                4,
+                100_000,
+                LogFormat.TEXT,
+                Timeouts.DEFAULTS);
+        Daemon daemon = Daemon.start(settings);
+        daemons.add(daemon);
+        fleet.platform()
+                .putHost(new HostEntry(settings.daemon(), settings.failureDomain(), daemon.peerAddress(), false));
+    }
+
+    private void record(HistoryEvent event) {
+        synchronized (history) {
+            history.add(event);
+        }
+    }
+
+    /** Returns what the endpoints did, of one type. */
+    <E extends HistoryEvent> List<E> events(Class<E> type) {
+        synchronized (history) {
+            return history.stream().filter(type::isInstance).map(type::cast).toList();
+        }
+    }
+
+    StandinFleet fleet() {
+        return fleet;
+    }
+
+    GroupEmulator group() {
+        return fleet.group(GROUP);
+    }
+
+    List<Daemon> daemons() {
+        return daemons;
+    }
+
+    /** Returns the lead owner of the group. */
+    Daemon lead() {
+        return daemons.stream()
+                .filter(daemon -> daemon.status().groups().stream().anyMatch(group -> group.lead()))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** Returns daemons other than the lead owner. */
+    List<Daemon> others() {
+        Daemon lead = lead();
+        return daemons.stream().filter(daemon -> daemon != lead).toList();
+    }
+
+    Answer post(Daemon daemon, String path, String body) {
+        return postAsync(daemon, path, body).join();
+    }
+
+    CompletableFuture<Answer> postAsync(Daemon daemon, String path, String body) {
+        HttpRequest request = HttpRequest.newBuilder(
+                        URI.create("http://" + daemon.peerAddress().split(":")[0] + ":" + daemon.callerPort() + path))
+                .header("Content-Type", "application/json")
+                .timeout(PATIENCE)
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        return client.sendAsync(request, HttpResponse.BodyHandlers.ofString())
+                .thenApply(response -> new Answer(response.statusCode(), parse(response.body())));
+    }
+
+    private static JsonNode parse(String body) {
+        try {
+            return MAPPER.readTree(body);
+        } catch (IOException e) {
+            throw new AssertionError("not JSON: " + body, e);
+        }
+    }
+
+    static String put(String key, String value) {
+        return "{\"rank\":\"urgent\",\"access\":\"write\",\"deadlineMs\":20000,\"statements\":["
+                + "{\"op\":\"put\",\"key\":\"" + key + "\",\"value\":\"" + value + "\"}]}";
+    }
+
+    static String get(String key) {
+        return "{\"rank\":\"urgent\",\"access\":\"read\",\"deadlineMs\":20000,\"statements\":["
+                + "{\"op\":\"get\",\"key\":\"" + key + "\"}]}";
+    }
+
+    /** Returns the request with a session token. */
+    static String inSession(String request, String token) {
+        return request.substring(0, request.length() - 1) + ",\"session\":\"" + token + "\"}";
+    }
+
+    /** Waits until the value satisfies the condition. */
+    <T> T await(String what, Callable<T> value, Predicate<T> condition) throws Exception {
+        Instant end = Instant.now().plus(PATIENCE);
+        T last = value.call();
+        while (!condition.test(last)) {
+            if (Instant.now().isAfter(end)) {
+                throw new AssertionError("no " + what + " within " + PATIENCE + "; last: " + last);
+            }
+            Thread.sleep(20);
+            last = value.call();
+        }
+        return last;
+    }
+
+    @Override
+    public void close() {
+        daemons.forEach(Daemon::close);
+        fleet.close();
+    }
+
+    /** An HTTP answer. */
+    record Answer(int status, JsonNode body) {
+        String session() {
+            return body.path("session").asText();
+        }
+
+        String kind() {
+            return body.path("kind").asText();
+        }
+
+        JsonNode result(int index) {
+            return body.path("results").path(index);
+        }
+    }
+}
