--- /dev/null
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/membership/Owners.java
@@ -0,0 +1,133 @@
+package org.lavenderwick.core.membership;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Multimaps;
+import com.google.common.hash.HashFunction;
+import com.google.common.hash.Hashing;
+import org.lavenderwick.core.configuration.EndpointSettings;
+import org.lavenderwick.core.configuration.GroupSettings;
+import org.lavenderwick.core.model.DaemonName;
+import org.lavenderwick.core.model.FailureDomain;
+import org.lavenderwick.core.model.GroupName;
+
+/**
+ * Owners of database groups under one seat table, by rendezvous hashing over the seats. A score depends on the group
+ * and the identity of the seat only, so a seat that changes hands moves no group, and a seat that is added or removed
+ * moves only the groups for which it has the best score of its failure domain: on average 1/n of the groups, with n
+ * seats in the failure domain.
+ *
+ * <p>Immutable and safe for use by any thread. One call hashes each seat of the group's failure domains once: O(s) time
+ * and memory for s seats there. Callers keep the result per seat table and configuration.
+ */
+public final class Owners {
+
+    private static final HashFunction SCORE = Hashing.murmur3_128(0x6c61_7665);
+
+    private final SeatTable table;
+    private final ImmutableListMultimap<FailureDomain, Seat> seatsByDomain;
+
+    private Owners(SeatTable table) {
+        this.table = table;
+        this.seatsByDomain = Multimaps.index(table.seats(), Seat::failureDomain);
+    }
+
+    /** Returns the owners that follow from the given seat table. */
+    public static Owners of(SeatTable table) {
+        return new Owners(table);
+    }
+
+    /** Returns the seat table. */
+    public SeatTable table() {
+        return table;
+    }
+
+    /** Returns the owners of a group, lead owner first; see {@link #ownersOf(GroupName, Collection)}. */
+    public List<Seat> ownersOf(GroupSettings group) {
+        return ownersOf(
+                group.name(),
+                group.endpoints().stream().map(EndpointSettings::failureDomain).toList());
+    }
+
+    /**
+     * Returns the owners of a group, lead owner first: one seat for each failure domain in which the group has
+     * endpoints, or for every failure domain if none of those has a seat. Empty only if the table is empty.
+     *
+     * <p>A leaving seat is an owner only where its failure domain has no other seat, or where it would be the owner if
+     * it stayed. In the second case it is listed besides its successor, so that the connection shares count what it
+     * still holds. Leaving seats come after all others.
+     */
+    public List<Seat> ownersOf(GroupName group, Collection<FailureDomain> endpointDomains) {
+        Set<FailureDomain> domains = ImmutableSet.copyOf(endpointDomains);
+        if (domains.stream().noneMatch(seatsByDomain::containsKey)) {
+            domains = seatsByDomain.keySet();
+        }
+        List<ScoredSeat> owners = new ArrayList<>();
+        for (FailureDomain domain : domains) {
+            addOwners(group, seatsByDomain.get(domain), owners);
+        }
+        owners.sort(Comparator.comparing((ScoredSeat owner) -> owner.seat().leaving())
+                .thenComparing(ScoredSeat.BEST_FIRST));
+        return owners.stream().map(ScoredSeat::seat).collect(ImmutableList.toImmutableList());
+    }
+
+    /** Returns the place of a process among the owners of a group, 0 for the lead, if it is an owner. */
+    public static Optional<Integer> placeOf(List<Seat> owners, DaemonName daemon, long incarnation) {
+        for (int place = 0; place < owners.size(); place++) {
+            if (owners.get(place).isHeldBy(daemon, incarnation)) {
+                return Optional.of(place);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static void addOwners(GroupName group, List<Seat> seats, List<ScoredSeat> owners) {
+        ScoredSeat best = null;
+        ScoredSeat bestStaying = null;
+        for (Seat seat : seats) {
+            ScoredSeat scored = new ScoredSeat(seat, score(group, seat.id()));
+            if (best == null || scored.precedes(best)) {
+                best = scored;
+            }
+            if (!seat.leaving() && (bestStaying == null || scored.precedes(bestStaying))) {
+                bestStaying = scored;
+            }
+        }
+        if (bestStaying != null) {
+            owners.add(bestStaying);
+        }
+        if (best != null && best != bestStaying) {
+            owners.add(best);
+        }
+    }
+
+    private static long score(GroupName group, SeatId seat) {
+        return SCORE.newHasher()
+                .putString(group.value(), StandardCharsets.UTF_8)
+                .putChar('/')
+                .putString(seat.failureDomain().value(), StandardCharsets.UTF_8)
+                .putInt(seat.number())
+                .hash()
+                .asLong();
+    }
+
+    private record ScoredSeat(Seat seat, long score) {
+
+        private static final Comparator<ScoredSeat> BEST_FIRST = Comparator.comparingLong(ScoredSeat::score)
+                .reversed()
+                .thenComparing(scored -> scored.seat().id());
+
+        private boolean precedes(ScoredSeat other) {
+            return BEST_FIRST.compare(this, other) < 0;
+        }
+    }
+}
--- /dev/null
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/membership/PeerContact.java
@@ -0,0 +1,9 @@
+package org.lavenderwick.core.membership;
+
+/**
+ * One exchange that a daemon starts.
+ *
+ * @param address IP address and port of the peer
+ * @param news the documents that the request carries
+ */
+public record PeerContact(String address, NewsPlan news) {}
--- /dev/null
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/membership/PeerExchange.java
@@ -0,0 +1,143 @@
+package org.lavenderwick.core.membership;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import org.lavenderwick.core.model.FailureDomain;
+
+/**
+ * Chooses with which peers a daemon exchanges digests and news. Each round goes to {@value #FANOUT} random peers,
+ * {@value #OWN_DOMAIN_SHARE} of them in the own failure domain where it has that many, so that a seat table reaches a
+ * former holder of a seat fast, and the rest elsewhere, so that news crosses failure domains. News is pushed at once in
+ * the same way.
+ *
+ * <p>The caller runs a round every {@link #ROUND_INTERVAL}, calls {@link #push} when it installs a newer document, and
+ * reports each digest it receives. Until a seat table names other daemons, the seed addresses are the peers. Memory is
+ * linear in the number of seats. Confined to the control thread.
+ */
+public final class PeerExchange {
+
+    /** Time between two rounds. */
+    public static final Duration ROUND_INTERVAL = Duration.ofSeconds(1);
+
+    /** Number of peers contacted in each round and on each push. */
+    public static final int FANOUT = 3;
+
+    /** Number of contacted peers that are in the own failure domain, where it has that many. */
+    public static final int OWN_DOMAIN_SHARE = 2;
+
+    private final String ownAddress;
+    private final FailureDomain ownDomain;
+    private final ImmutableSet<String> seeds;
+    private final RandomGenerator random;
+    private final Map<String, Digest> knownDigests = new HashMap<>();
+    private ImmutableList<String> nearPeers = ImmutableList.of();
+    private ImmutableList<String> farPeers = ImmutableList.of();
+
+    private PeerExchange(String ownAddress, FailureDomain ownDomain, Collection<String> seeds, RandomGenerator random) {
+        this.ownAddress = ownAddress;
+        this.ownDomain = ownDomain;
+        this.seeds = seeds.stream().filter(seed -> !seed.equals(ownAddress)).collect(ImmutableSet.toImmutableSet());
+        this.random = random;
+        onSeatTable(SeatTable.empty());
+    }
+
+    /** Returns an exchange for the daemon at the given address and failure domain. */
+    public static PeerExchange create(
+            String ownAddress, FailureDomain ownDomain, Collection<String> seeds, RandomGenerator random) {
+        return new PeerExchange(ownAddress, ownDomain, seeds, random);
+    }
+
+    /** Takes the peers from a newly installed seat table. Seeds that the table does not name stay peers. */
+    public void onSeatTable(SeatTable table) {
+        Set<String> near = new LinkedHashSet<>();
+        Set<String> far = new LinkedHashSet<>();
+        for (Seat seat : table.seats()) {
+            if (!seat.address().equals(ownAddress)) {
+                (seat.failureDomain().equals(ownDomain) ? near : far).add(seat.address());
+            }
+        }
+        for (String seed : seeds) {
+            if (!near.contains(seed)) {
+                far.add(seed);
+            }
+        }
+        nearPeers = ImmutableList.copyOf(near);
+        farPeers = ImmutableList.copyOf(far);
+        knownDigests.keySet().removeIf(address -> !near.contains(address) && !far.contains(address));
+    }
+
+    /** Records the digest that a peer stated in a request or an answer. Digests of unknown peers are dropped. */
+    public void onDigest(String address, Digest digest) {
+        if (nearPeers.contains(address) || farPeers.contains(address)) {
+            knownDigests.put(address, digest);
+        }
+    }
+
+    /** Returns the exchanges of a regular round. A peer that is known to be behind gets the news with the request. */
+    public List<PeerContact> round(Digest own) {
+        return contacts(nearPeers, farPeers, own);
+    }
+
+    /** Returns the exchanges that spread a newly installed document. Peers known to have it are left out. */
+    public List<PeerContact> push(Digest own) {
+        return contacts(behind(nearPeers, own), behind(farPeers, own), own);
+    }
+
+    /**
+     * Records the digest in a peer's answer and returns one more exchange if the peer lacks a document that the request
+     * did not carry.
+     */
+    public Optional<PeerContact> onResponse(PeerContact contact, Digest peer, Digest own) {
+        onDigest(contact.address(), peer);
+        NewsPlan missing = NewsPlan.between(own, peer);
+        boolean alreadySent = contact.news().configurationSince().isPresent()
+                        && contact.news().seatTable()
+                || !contact.news().isEmpty() && missing.equals(contact.news());
+        return missing.isEmpty() || alreadySent
+                ? Optional.empty()
+                : Optional.of(new PeerContact(contact.address(), missing));
+    }
+
+    /** Returns the number of known peers. */
+    public int peerCount() {
+        return nearPeers.size() + farPeers.size();
+    }
+
+    private List<String> behind(List<String> peers, Digest own) {
+        return peers.stream()
+                .filter(peer -> knownDigests.getOrDefault(peer, Digest.NONE).isBehind(own))
+                .toList();
+    }
+
+    private List<PeerContact> contacts(List<String> near, List<String> far, Digest own) {
+        int nearCount = Math.min(near.size(), Math.max(OWN_DOMAIN_SHARE, FANOUT - far.size()));
+        int farCount = Math.min(far.size(), FANOUT - nearCount);
+        List<PeerContact> contacts = new ArrayList<>(FANOUT);
+        pick(near, nearCount, own, contacts);
+        pick(far, farCount, own, contacts);
+        return contacts;
+    }
+
+    private void pick(List<String> peers, int count, Digest own, List<PeerContact> contacts) {
+        Set<Integer> chosen = new LinkedHashSet<>();
+        while (chosen.size() < count) {
+            chosen.add(random.nextInt(peers.size()));
+        }
+        for (int index : chosen) {
+            String address = peers.get(index);
+            Digest known = knownDigests.get(address);
+            contacts.add(new PeerContact(address, known == null ? NewsPlan.NOTHING : NewsPlan.between(own, known)));
+        }
+    }
+}
--- /dev/null
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/membership/WriteAnswer.java
@@ -0,0 +1,11 @@
+package org.lavenderwick.core.membership;
+
+/** Answer of the platform to a compare-and-swap. */
+public enum WriteAnswer {
+    /** The value is in force. */
+    WRITTEN,
+    /** Another writer was first. */
+    CONFLICT,
+    /** No answer came; the write may have taken effect. */
+    UNKNOWN
+}
