--- /dev/null
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/configuration/ConfigurationHistory.java
@@ -0,0 +1,53 @@
+package org.lavenderwick.core.configuration;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * The last {@value #CAPACITY} configurations that a daemon installed, from which it answers peers that are a few
+ * versions behind. Versions share unchanged services and groups only if they were built from one another by
+ * {@link ConfigurationChanges#applyTo}. Confined to the control thread.
+ */
+public final class ConfigurationHistory {
+
+    /** Number of versions kept: about two hours of changes at 790 changes a day. */
+    public static final int CAPACITY = 64;
+
+    private final TreeMap<Long, Configuration> versions = new TreeMap<>();
+
+    /** Returns an empty history. */
+    public static ConfigurationHistory create() {
+        return new ConfigurationHistory();
+    }
+
+    /** Adds an installed configuration and drops the oldest one above the capacity. */
+    public void add(Configuration configuration) {
+        versions.put(configuration.version(), configuration);
+        if (versions.size() > CAPACITY) {
+            versions.pollFirstEntry();
+        }
+    }
+
+    /**
+     * Returns the changes from the given version to the newest one; empty if the history does not have that version or
+     * nothing is newer. Linear in the size of the configuration.
+     */
+    public Optional<ConfigurationChanges> changesSince(long version) {
+        Map.Entry<Long, Configuration> newest = versions.lastEntry();
+        Configuration base = versions.get(version);
+        return base == null || newest.getKey() <= version
+                ? Optional.empty()
+                : Optional.of(ConfigurationChanges.between(base, newest.getValue()));
+    }
+
+    /** Returns the newest configuration, if there is one. */
+    public Optional<Configuration> newest() {
+        return Optional.ofNullable(versions.lastEntry()).map(Map.Entry::getValue);
+    }
+
+    /** Returns the number of versions kept. */
+    public int size() {
+        return versions.size();
+    }
+}
--- /dev/null
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/drain/package-info.java
@@ -0,0 +1,2 @@
+/** Graceful shutdown of a daemon. */
+package org.lavenderwick.core.drain;
