--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/configuration/ConfigurationHistory.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/configuration/ConfigurationHistory.java
@@ -4,10 +4,12 @@
 import java.util.Optional;
 import java.util.TreeMap;
 
+import static com.google.common.base.Preconditions.checkArgument;
+
 /**
  * The last {@value #CAPACITY} configurations that a daemon installed, from which it answers peers that are a few
- * versions behind. Versions share unchanged services and groups only if they were built from one another by
- * {@link ConfigurationChanges#applyTo}. Confined to the control thread.
+ * versions behind. Successive versions share their unchanged services and groups, so that a version costs one map entry
+ * per service and group and not a copy of its settings. Confined to the control thread.
  */
 public final class ConfigurationHistory {
 
@@ -21,12 +23,24 @@
         return new ConfigurationHistory();
     }
 
-    /** Adds an installed configuration and drops the oldest one above the capacity. */
-    public void add(Configuration configuration) {
-        versions.put(configuration.version(), configuration);
+    /**
+     * Adds an installed configuration and drops the oldest one above the capacity. Linear in the size of the
+     * configuration.
+     *
+     * @param configuration a configuration newer than all others in the history
+     * @return an equal configuration that shares what is unchanged with its predecessor; the caller keeps this one
+     */
+    public Configuration add(Configuration configuration) {
+        Map.Entry<Long, Configuration> newest = versions.lastEntry();
+        checkArgument(newest == null || newest.getKey() < configuration.version(), "the configuration is not newer");
+        Configuration shared = newest == null
+                ? configuration
+                : ConfigurationChanges.between(newest.getValue(), configuration).applyTo(newest.getValue());
+        versions.put(shared.version(), shared);
         if (versions.size() > CAPACITY) {
             versions.pollFirstEntry();
         }
+        return shared;
     }
 
     /**
--- /dev/null
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/session/SessionTokenCodec.java
@@ -0,0 +1,83 @@
+package org.lavenderwick.core.session;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import com.google.common.io.ByteArrayDataInput;
+import com.google.common.io.ByteArrayDataOutput;
+import com.google.common.io.ByteStreams;
+import io.vavr.control.Either;
+import org.lavenderwick.core.configuration.SessionKey;
+import org.lavenderwick.core.error.Failure;
+import org.lavenderwick.core.model.DaemonName;
+import org.lavenderwick.core.model.GroupName;
+import org.lavenderwick.core.model.LogPoint;
+
+/**
+ * Turns session tokens and transaction handles into sealed text and back. The text is authenticated by HMAC-SHA256, not
+ * encrypted: callers can read it but not change it. A text of one kind never opens as the other.
+ *
+ * <p>Thread-safe. Sealing and opening are linear in the number of groups; each computes one HMAC.
+ */
+public final class SessionTokenCodec {
+
+    private static final byte TOKEN_KIND = 1;
+    private static final byte HANDLE_KIND = 2;
+
+    private final Seal seal;
+
+    private SessionTokenCodec(Seal seal) {
+        this.seal = seal;
+    }
+
+    /**
+     * Returns a codec that seals with the first key and opens with all of them.
+     *
+     * @throws IllegalArgumentException if there is no key or a key is not base64 of 32 bytes
+     */
+    public static SessionTokenCodec of(List<SessionKey> keys) {
+        return new SessionTokenCodec(Seal.of(keys));
+    }
+
+    /** Returns the sealed text of a token. */
+    public String seal(SessionToken token) {
+        ByteArrayDataOutput body = ByteStreams.newDataOutput();
+        body.writeByte(token.points().size());
+        token.points().forEach((group, point) -> {
+            body.writeUTF(group.value());
+            body.writeLong(point.term().number());
+            body.writeLong(point.position());
+        });
+        return seal.close(TOKEN_KIND, body.toByteArray());
+    }
+
+    /** Returns the token in a sealed text, or {@code INVALID_TOKEN} if this fleet did not seal it. */
+    public Either<Failure, SessionToken> openToken(String text) {
+        return seal.open(TOKEN_KIND, text, body -> {
+            Map<GroupName, LogPoint> points = new TreeMap<>();
+            for (int remaining = body.readUnsignedByte(); remaining > 0; remaining--) {
+                points.put(GroupName.of(body.readUTF()), LogPoint.of(body.readLong(), body.readLong()));
+            }
+            return new SessionToken(points);
+        });
+    }
+
+    /** Returns the sealed text of a transaction handle. */
+    public String seal(TransactionHandle handle) {
+        ByteArrayDataOutput body = ByteStreams.newDataOutput();
+        body.writeUTF(handle.owner().value());
+        body.writeLong(handle.incarnation());
+        body.writeUTF(handle.transactionId());
+        return seal.close(HANDLE_KIND, body.toByteArray());
+    }
+
+    /** Returns the handle in a sealed text, or {@code INVALID_TOKEN} if this fleet did not seal it. */
+    public Either<Failure, TransactionHandle> openHandle(String text) {
+        return seal.open(HANDLE_KIND, text, SessionTokenCodec::readHandle);
+    }
+
+    private static TransactionHandle readHandle(ByteArrayDataInput body) {
+        return new TransactionHandle(DaemonName.of(body.readUTF()), body.readLong(), body.readUTF());
+    }
+}
--- /dev/null
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/session/package-info.java
@@ -0,0 +1,2 @@
+/** Session tokens and transaction handles that callers carry, sealed against forgery. */
+package org.lavenderwick.core.session;
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/membership/SeatFleet.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/membership/SeatFleet.java
@@ -16,8 +16,8 @@
 import org.lavenderwick.core.model.FailureDomain;
 
 /**
- * A fleet of seat claims around a simulated platform, in steps of one second. Platform calls may be lost before or after
- * they take effect; processes may be paused, killed or cut off from the platform.
+ * A fleet of seat claims around a simulated platform, in steps of one second. Platform calls may be lost before or
+ * after they take effect; processes may be paused, killed or cut off from the platform.
  */
 final class SeatFleet {
 
--- /dev/null
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/session/SessionTokenCodecTest.java
@@ -0,0 +1,144 @@
+package org.lavenderwick.core.session;
+
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+import com.google.common.base.Strings;
+import io.vavr.control.Either;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lavenderwick.core.configuration.SessionKey;
+import org.lavenderwick.core.error.ErrorKind;
+import org.lavenderwick.core.error.Failure;
+import org.lavenderwick.core.model.DaemonName;
+import org.lavenderwick.core.model.GroupName;
+import org.lavenderwick.core.model.LogPoint;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+class SessionTokenCodecTest {
+
+    private static final SessionKey OLD_KEY = key("k1", 1);
+    private static final SessionKey NEW_KEY = key("k2", 2);
+    private static final SessionToken TOKEN = SessionToken.empty()
+            .with(GroupName.of("orders"), LogPoint.of(3, 1200))
+            .with(GroupName.of("größe"), LogPoint.of(1, 7));
+
+    private final SessionTokenCodec codec = SessionTokenCodec.of(List.of(OLD_KEY));
+
+    private static SessionKey key(String id, int seed) {
+        byte[] secret = new byte[32];
+        secret[0] = (byte) seed;
+        return new SessionKey(id, Base64.getEncoder().encodeToString(secret));
+    }
+
+    private static void assertInvalid(Either<Failure, ?> opened) {
+        assertThat(opened.isLeft()).isTrue();
+        assertThat(opened.getLeft().kind()).isEqualTo(ErrorKind.INVALID_TOKEN);
+    }
+
+    @Nested
+    class Opening {
+
+        /** Guards against a token that loses a position on its way through the caller. */
+        @Test
+        void givesBackWhatWasSealed() {
+            assertThat(codec.openToken(codec.seal(TOKEN)).get()).isEqualTo(TOKEN);
+            assertThat(codec.seal(TOKEN)).matches("[A-Za-z0-9_-]+");
+        }
+
+        /** Guards against sessions that break when operators change the sealing key. */
+        @Test
+        void opensTokensOfAnOlderKey() {
+            SessionTokenCodec changed = SessionTokenCodec.of(List.of(NEW_KEY, OLD_KEY));
+
+            assertThat(changed.openToken(codec.seal(TOKEN)).get()).isEqualTo(TOKEN);
+            assertInvalid(codec.openToken(changed.seal(TOKEN)));
+        }
+
+        /** Guards against a key of another fleet that has the same id. */
+        @Test
+        void refusesTheTokenOfAnotherFleet() {
+            SessionTokenCodec foreign = SessionTokenCodec.of(List.of(key("k1", 9)));
+
+            assertInvalid(codec.openToken(foreign.seal(TOKEN)));
+        }
+
+        /** Guards against a transaction handle that passes for a session token, and the reverse. */
+        @Test
+        void keepsTheKindsApart() {
+            TransactionHandle handle = new TransactionHandle(DaemonName.of("arq-1"), 5, "t-9");
+
+            assertThat(codec.openHandle(codec.seal(handle)).get()).isEqualTo(handle);
+            assertInvalid(codec.openToken(codec.seal(handle)));
+            assertInvalid(codec.openHandle(codec.seal(TOKEN)));
+        }
+
+        /** Guards against input that ends in an exception instead of a refusal. */
+        @Test
+        void refusesTextThatIsNoToken() {
+            for (String text : List.of("", "a", "====", "!!", "AQ", Strings.repeat("A", 10_000), "ñandú")) {
+                assertInvalid(codec.openToken(text));
+            }
+        }
+    }
+
+    /** Guards against a forged token: any changed character must be noticed. */
+    @Property(seed = "11", tries = 500)
+    void refusesAChangedCharacter(@ForAll @IntRange(max = 10_000) int place, @ForAll @IntRange(max = 63) int digit) {
+        String text = codec.seal(TOKEN);
+        String alphabet = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
+        // The last character carries unused bits, so a change there may decode to the same bytes.
+        int index = place % (text.length() - 1);
+        String changed = text.substring(0, index) + alphabet.charAt(digit) + text.substring(index + 1);
+
+        if (!changed.equals(text)) {
+            assertInvalid(codec.openToken(changed));
+        }
+    }
+
+    /** Guards against a token that is accepted although its end is missing. */
+    @Property(seed = "12", tries = 100)
+    void refusesACutToken(@ForAll @IntRange(max = 10_000) int place) {
+        String text = codec.seal(TOKEN);
+
+        assertInvalid(codec.openToken(text.substring(0, place % text.length())));
+    }
+
+    @Nested
+    class Tokens {
+
+        /** Guards against a session that forgets a newer write when an older answer arrives late. */
+        @Test
+        void keepTheLaterPosition() {
+            GroupName orders = GroupName.of("orders");
+
+            assertThat(TOKEN.with(orders, LogPoint.of(3, 5)).point(orders)).contains(LogPoint.of(3, 1200));
+            assertThat(TOKEN.with(orders, LogPoint.of(4, 5)).point(orders)).contains(LogPoint.of(4, 5));
+            assertThat(TOKEN.replace(orders, LogPoint.of(3, 5)).point(orders)).contains(LogPoint.of(3, 5));
+        }
+
+        /** Guards against a token that outgrows a header, and against one that silently drops a group. */
+        @Test
+        void areBounded() {
+            SessionToken full = new SessionToken(IntStream.range(0, SessionToken.MAX_GROUPS)
+                    .boxed()
+                    .collect(Collectors.toMap(
+                            number -> GroupName.of(Strings.repeat("n", 60) + number), number -> LogPoint.of(1, 1))));
+
+            assertThat(codec.openToken(codec.seal(full)).get()).isEqualTo(full);
+            assertThat(full.hasRoomFor(GroupName.of("other"))).isFalse();
+            assertThatThrownBy(() -> full.with(GroupName.of("other"), LogPoint.of(1, 1)))
+                    .isInstanceOf(IllegalArgumentException.class);
+            assertThat(new SessionToken(Map.of()).hasRoomFor(GroupName.of("other")))
+                    .isTrue();
+        }
+    }
+}
