--- a/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/Addresses.java
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/Addresses.java
@@ -16,7 +16,7 @@
         return InetAddresses.isInetAddress(text);
     }
 
-    /** Returns whether the text is an IP address and a port from 1, as in {@code 127.0.1.1:9000} or {@code [::1]:90}. */
+    /** Returns whether the text is an IP address and a port from 1, as in {@code 127.0.1.1:9000} or {@code [::1]:9}. */
     public static boolean isIpAndPort(String text) {
         try {
             HostAndPort parsed = HostAndPort.fromString(text).requireBracketsForIPv6();
