Add audit log entries and their exactly-once append

Entries go into chunks of at most 256 KB by compare-and-swap; the id in front of each line shows after a lost answer or a conflict whether the entry is stored. Backoff moves to core.time, since the audit log needs it too.

--- /dev/null
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/audit/package-info.java
@@ -0,0 +1,2 @@
+/** The audit log: who changed what and when, kept on the platform in chunks. */
+package org.lavenderwick.core.audit;
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/promotion/PromotionCoordinator.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/promotion/PromotionCoordinator.java
@@ -9,6 +9,7 @@
 import com.google.common.collect.Comparators;
 import com.google.common.collect.ImmutableList;
 import org.lavenderwick.core.model.EndpointName;
+import org.lavenderwick.core.time.Backoff;
 
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkState;
@@ -70,8 +71,8 @@
         this.timings = timings;
         this.lease = new LeaseHold(timings);
         this.slot = new CallSlot(timings);
-        this.platformBackoff = new Backoff(timings, random);
-        this.endpointBackoff = new Backoff(timings, random);
+        this.platformBackoff = Backoff.create(timings.retryBase(), timings.retryCap(), random);
+        this.endpointBackoff = Backoff.create(timings.retryBase(), timings.retryCap(), random);
     }
 
     /**
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/promotion/SealPhase.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/promotion/SealPhase.java
@@ -11,6 +11,7 @@
 import org.lavenderwick.core.model.EndpointName;
 import org.lavenderwick.core.model.LogPoint;
 import org.lavenderwick.core.model.Term;
+import org.lavenderwick.core.time.Backoff;
 
 /**
  * Steps 2 to 4 of a promotion: seals the endpoints, waits until no evidence for the closed term can be valid, and
--- /dev/null
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/audit/AuditAppendTest.java
@@ -0,0 +1,142 @@
+package org.lavenderwick.core.audit;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.lavenderwick.core.time.Backoff;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+class AuditAppendTest {
+
+    private static final Instant WHEN = Instant.parse("2026-12-03T23:59:59Z");
+    private static final Duration NOW = Duration.ofSeconds(1);
+
+    private final Map<String, String> values = new TreeMap<>();
+    private final Map<String, Long> revisions = new HashMap<>();
+
+    private static AuditAppend append(String id, String encoded) {
+        return AuditAppend.create(
+                id, WHEN, encoded, 0, Backoff.create(Duration.ofMillis(10), Duration.ofMillis(100), new Random(1)));
+    }
+
+    private boolean write(AuditAction.Write write) {
+        if (revisions.getOrDefault(write.key(), 0L) != write.expectedRevision()) {
+            return false;
+        }
+        values.put(write.key(), write.value());
+        revisions.merge(write.key(), 1L, Long::sum);
+        return true;
+    }
+
+    private List<AuditAction> read(AuditAppend append, AuditAction.Read read) {
+        return append.chunkRead(Optional.ofNullable(values.get(read.key())), revisions.getOrDefault(read.key(), 0L));
+    }
+
+    private List<String> entries() {
+        return values.values().stream()
+                .flatMap(text -> new AuditChunk(text).encodedEntries().stream())
+                .toList();
+    }
+
+    /** Guards against chunks above the limit, lost entries and a day taken from a local calendar. */
+    @Test
+    void fillsChunksUpToTheLimitInTheDayOfTheChange() {
+        String encoded = "x".repeat(100 * 1024);
+        for (int i = 0; i < 5; i++) {
+            AuditAppend append = append("id" + i, encoded);
+            Deque<AuditAction> actions = new ArrayDeque<>(append.start());
+            while (!(actions.peek() instanceof AuditAction.Appended)) {
+                AuditAction action = actions.remove();
+                if (action instanceof AuditAction.Read read) {
+                    actions.addAll(read(append, read));
+                } else if (action instanceof AuditAction.Write write) {
+                    assertThat(write(write)).isTrue();
+                    actions.addAll(append.chunkWritten());
+                }
+            }
+        }
+        assertThat(values.keySet())
+                .containsExactly("audit/2026-12-03/0000", "audit/2026-12-03/0001", "audit/2026-12-03/0002");
+        assertThat(values.values()).allMatch(text -> text.length() <= AuditChunk.MAX_BYTES);
+        assertThat(entries()).hasSize(5);
+    }
+
+    /** Guards against an id that is taken for another one of which it is the end or the beginning. */
+    @Test
+    void recognisesWholeIdsOnly() {
+        AuditChunk chunk = AuditChunk.EMPTY.with("daemon-12", "a daemon-3 b").orElseThrow();
+        assertThat(chunk.contains("daemon-12")).isTrue();
+        assertThat(chunk.contains("daemon-1")).isFalse();
+        assertThat(chunk.contains("12")).isFalse();
+        assertThat(chunk.contains("daemon-3")).isFalse();
+    }
+
+    /** Guards against an entry that could never be stored and would be retried for ever. */
+    @Test
+    void rejectsAnEntryThatFitsIntoNoChunk() {
+        assertThatThrownBy(() -> append("id", "x".repeat(AuditChunk.MAX_BYTES)))
+                .isInstanceOf(IllegalArgumentException.class);
+    }
+
+    /**
+     * Guards against doubled and lost entries when several writers race, answers are lost before or after the effect,
+     * and writes arrive late.
+     */
+    @Property(tries = 200, seed = "20261204")
+    void storesEachEntryOnce(@ForAll long seed) {
+        Random random = new Random(seed);
+        values.clear();
+        revisions.clear();
+        List<AuditAppend> appends = new ArrayList<>();
+        List<Deque<AuditAction>> todo = new ArrayList<>();
+        List<AuditAction.Write> late = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            appends.add(append("id" + i, i + "x".repeat(90_000)));
+            todo.add(new ArrayDeque<>(appends.get(i).start()));
+        }
+        for (int step = 0; todo.stream().anyMatch(actions -> !actions.isEmpty()); step++) {
+            assertThat(step).as("steps of seed %s", seed).isLessThan(10_000);
+            int i = random.nextInt(appends.size());
+            if (!todo.get(i).isEmpty()) {
+                perform(appends.get(i), todo.get(i), late, random);
+            }
+            if (!late.isEmpty() && random.nextInt(4) == 0) {
+                write(late.remove(random.nextInt(late.size())));
+            }
+        }
+        late.forEach(this::write);
+        assertThat(entries()).hasSize(6).doesNotHaveDuplicates();
+    }
+
+    private void perform(AuditAppend append, Deque<AuditAction> todo, List<AuditAction.Write> late, Random random) {
+        AuditAction action = todo.remove();
+        int fault = random.nextInt(6);
+        if (action instanceof AuditAction.Read read) {
+            todo.addAll(fault == 0 ? append.callFailed(NOW) : read(append, read));
+        } else if (action instanceof AuditAction.Write write) {
+            if (fault == 0) {
+                late.add(write);
+                todo.addAll(append.callFailed(NOW));
+            } else {
+                boolean written = write(write);
+                todo.addAll(written && fault != 1 ? append.chunkWritten() : append.callFailed(NOW));
+            }
+        } else if (action instanceof AuditAction.WakeAt) {
+            todo.addAll(append.tick());
+        }
+    }
+}
