Add seeded property test of the promotion protocol

Two coordinators and three holders of evidence run against fakes of three endpoints and of the platform through delays, losses before and after the effect, cuts, pauses longer than the lease and restarts. Holders acknowledge at the last moment their evidence allows, on clocks that drift by the bound. Each run checks that no write of a term is acknowledged after a later term began, that a term has one primary, that a planned change loses no acknowledged write, and that a last switchover without faults completes.

--- /dev/null
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/promotion/WritingHolder.java
@@ -0,0 +1,119 @@
+package org.lavenderwick.core.promotion;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import org.lavenderwick.core.model.EndpointName;
+import org.lavenderwick.core.model.Term;
+
+/** A daemon that writes, and acknowledges each write as late as its evidence allows. */
+final class WritingHolder {
+
+    private static final long MILLIS = SimulatedNetwork.MILLIS;
+
+    private final PromotionRun run;
+    private final SimulatedNetwork network;
+    private final int node;
+    private final SimulatedNetwork.Clock clock;
+    private final TermEvidence evidence;
+    private Term term = Term.of(1);
+    private EndpointName primary;
+
+    WritingHolder(PromotionRun run, int node) {
+        this.run = run;
+        this.network = run.network;
+        this.node = node;
+        this.clock = SimulatedNetwork.Clock.drifting(network.random);
+        this.evidence = TermEvidence.create(run.endpointNames(), run.guards.holder());
+        this.primary = run.endpointNames().get(0);
+        scheduleWrite();
+    }
+
+    private Duration now() {
+        return Duration.ofNanos(clock.local(network.now()));
+    }
+
+    private void scheduleWrite() {
+        network.after(network.random.nextLong(100 * MILLIS, 700 * MILLIS), this::write);
+    }
+
+    private void write() {
+        scheduleWrite();
+        ask();
+        int write = run.nextWrite();
+        Term expected = term;
+        Duration askedAt = now();
+        FakeEndpoint endpoint = run.endpoint(primary);
+        network.send(node, endpoint.node, () -> {
+            if (!endpoint.begin(expected.number(), write)) {
+                EndpointReport report = endpoint.report();
+                network.send(endpoint.node, node, () -> learn(report, askedAt));
+                return;
+            }
+            long length = network.random.nextLong((network.random.nextInt(20) == 0 ? 1_500 : 30) * MILLIS);
+            network.after(length, () -> {
+                int position = endpoint.commit(write);
+                EndpointReport report = endpoint.report();
+                network.send(endpoint.node, node, () -> {
+                    learn(report, askedAt);
+                    if (position > 0) {
+                        acknowledgeLate(expected, write, position, 40);
+                    }
+                });
+            });
+        });
+    }
+
+    /** Asks for evidence as the daemon does, and now and then the platform out of turn. */
+    private void ask() {
+        EvidenceQuestions due = evidence.questionsDue(term, now());
+        Duration askedAt = now();
+        for (EndpointName name : due.endpoints()) {
+            FakeEndpoint endpoint = run.endpoint(name);
+            network.call(node, endpoint.node, endpoint::report, report -> learn(report, askedAt));
+        }
+        if (due.platform() || network.random.nextInt(6) == 0) {
+            network.call(node, PromotionRun.PLATFORM, run.platform::read, read -> {
+                evidence.recordPlatform(read.record(), askedAt);
+                if (read.record().state() == GroupState.OPEN) {
+                    follow(read.record().term(), read.record().primary());
+                }
+            });
+        }
+    }
+
+    private void learn(EndpointReport report, Duration askedAt) {
+        evidence.recordVote(report.endpoint(), report.promisedTerm(), askedAt);
+        if (report.primary()) {
+            follow(report.term(), report.endpoint());
+        }
+    }
+
+    private void follow(Term known, EndpointName itsPrimary) {
+        if (known.isAfter(term)) {
+            term = known;
+            primary = itsPrimary;
+        }
+    }
+
+    private void acknowledgeLate(Term written, int write, int position, int triesLeft) {
+        Optional<Duration> until = evidence.validUntil(written);
+        if (until.isEmpty() || until.get().compareTo(now()) < 0) {
+            if (triesLeft > 0) {
+                ask();
+                network.after(100 * MILLIS, () -> acknowledgeLate(written, write, position, triesLeft - 1));
+            }
+            return;
+        }
+        long latest = Math.min(clock.time(until.get().toNanos()), network.now() + 5_000 * MILLIS);
+        network.at(latest, () -> {
+            Optional<Duration> later = evidence.validUntil(written);
+            boolean renewed = later.isPresent() && later.get().compareTo(until.get()) > 0;
+            if (renewed && triesLeft > 0 && network.random.nextBoolean()) {
+                acknowledgeLate(written, write, position, triesLeft - 1);
+            } else if (evidence.mayAcknowledge(written, now())) {
+                run.acknowledged(written.number(), write, position);
+            }
+        });
+    }
+}
