--- a/lavenderwick-standins/src/main/java/org/lavenderwick/standins/StandinExchange.java
+++ b/lavenderwick-standins/src/main/java/org/lavenderwick/standins/StandinExchange.java
@@ -23,6 +23,9 @@
 /** One HTTP request at a stand-in, with the ways in which its answer can go wrong. At most one ending takes effect. */
 final class StandinExchange {
 
+    /** Puts a stray answer behind the one that the client has read. */
+    private static final Duration STRAY_DELAY = Duration.ofMillis(20);
+
     /** The socket of a request without answer is given back after this time, as clients have long given up. */
     private static final Duration SILENT_SOCKET_EXPIRY = Duration.ofMinutes(2);
 
@@ -107,17 +110,16 @@
     void answerBeforeStray(int status, Object body, Object stray) {
         byte[] bytes = json(stray);
         EndPoint endPoint = connection().getEndPoint();
-        answer(
-                status,
-                body,
-                Callback.from(() -> runtime.execute(() -> {
-                    try {
-                        endPoint.write(Callback.NOOP, rawAnswer(bytes));
-                    } catch (RuntimeException e) {
-                        // The connection already writes the answer to the next request; the fault has lost its chance.
-                        endPoint.close();
-                    }
-                })));
+        Runnable writeStray = () -> {
+            try {
+                endPoint.write(Callback.NOOP, rawAnswer(bytes));
+            } catch (RuntimeException e) {
+                // The connection already writes the answer to the next request; the fault has lost its chance.
+                endPoint.close();
+            }
+        };
+        // A stray answer in the same segment as the first one is discarded by the HTTP client and tests nothing.
+        answer(status, body, Callback.from(() -> runtime.schedule(writeStray, STRAY_DELAY)));
     }
 
     /** Sends the head and the first half of an answer, then closes the connection. */
