Let work that may not start be passed over within its rank

A session read that no replica can answer yet, or work held back by the spending policy, no longer holds up the items behind it, up to 16 of them. A test takes a read behind two that must wait, and late work behind deferred work.

--- a/lavenderwick-benchmarks/src/main/java/org/lavenderwick/benchmarks/ShortBenchmarks.java
+++ b/lavenderwick-benchmarks/src/main/java/org/lavenderwick/benchmarks/ShortBenchmarks.java
@@ -1,6 +1,5 @@
 package org.lavenderwick.benchmarks;
 
-import org.openjdk.jmh.results.format.ResultFormatType;
 import org.openjdk.jmh.runner.Runner;
 import org.openjdk.jmh.runner.RunnerException;
 import org.openjdk.jmh.runner.options.CommandLineOptionException;
@@ -20,15 +19,14 @@
 
     /** Runs the benchmarks that the arguments select, or all. */
     public static void main(String[] args) throws RunnerException, CommandLineOptionException {
-        OptionsBuilder options = new OptionsBuilder();
-        options.parent(new CommandLineOptions(args));
         CommandLineOptions given = new CommandLineOptions(args);
+        OptionsBuilder options = new OptionsBuilder();
+        options.parent(given);
         options.forks(given.getForkCount().orElse(1));
         options.warmupIterations(given.getWarmupIterations().orElse(2));
         options.warmupTime(given.getWarmupTime().orElse(ITERATION));
         options.measurementIterations(given.getMeasurementIterations().orElse(3));
         options.measurementTime(given.getMeasurementTime().orElse(ITERATION));
-        options.resultFormat(given.getResultFormat().orElse(ResultFormatType.TEXT));
         new Runner(options.build()).run();
     }
 }
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/admission/Lane.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/admission/Lane.java
@@ -18,6 +18,12 @@
     static final Comparator<WorkItem> BY_DEADLINE =
             Comparator.comparing(WorkItem::deadline).thenComparingLong(WorkItem::id);
 
+    /**
+     * Items that may be passed over in one decision because they may not start. Sessions whose write no replica has
+     * must not hold up other reads while there is no primary; more would make a decision on a full endpoint costly.
+     */
+    private static final int MAX_ASKED = 16;
+
     private final NavigableSet<WorkItem> onTime = new TreeSet<>(BY_DUE);
     private final NavigableSet<WorkItem> late = new TreeSet<>(BY_DEADLINE);
     private final DepartureMeter meter = new DepartureMeter();
@@ -59,13 +65,35 @@
         }
     }
 
-    Optional<WorkItem> firstOnTime() {
-        return onTime.isEmpty() ? Optional.empty() : Optional.of(onTime.first());
+    /** Returns the first item on time that may start, among the first few. */
+    Optional<WorkItem> firstOnTime(StartRule rule) {
+        int asked = 0;
+        for (WorkItem item : onTime) {
+            if (asked++ == MAX_ASKED) {
+                break;
+            }
+            if (rule.mayStart(item)) {
+                return Optional.of(item);
+            }
+        }
+        return Optional.empty();
     }
 
-    /** Returns the late item to serve next: the first whose deadline has not passed. */
-    Optional<WorkItem> firstLate(Duration now) {
-        return late.stream().filter(item -> item.deadline().compareTo(now) > 0).findFirst();
+    /** Returns the first late item that may start and whose deadline has not passed, among the first few. */
+    Optional<WorkItem> firstLate(StartRule rule, Duration now) {
+        int asked = 0;
+        for (WorkItem item : late) {
+            if (item.deadline().compareTo(now) <= 0) {
+                continue;
+            }
+            if (asked++ == MAX_ASKED) {
+                break;
+            }
+            if (rule.mayStart(item)) {
+                return Optional.of(item);
+            }
+        }
+        return Optional.empty();
     }
 
     /** Returns the late item that is closest to its deadline. */
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/admission/RankQueue.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/admission/RankQueue.java
@@ -1,10 +1,7 @@
 package org.lavenderwick.core.admission;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.EnumMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -57,29 +54,28 @@
 
     /** Returns the item to start next, if one may start: items on time before late ones, then by due time. */
     Optional<WorkItem> next(StartRule rule, Duration now, Duration serviceTime) {
-        List<WorkItem> onTime = new ArrayList<>(lanes.size());
-        List<WorkItem> late = new ArrayList<>(lanes.size());
+        Optional<WorkItem> onTime = Optional.empty();
         for (Lane lane : lanes.values()) {
-            if (lane.size() == 0) {
-                continue;
-            }
-            lane.sortOutLate(now, serviceTime);
-            Optional<WorkItem> first = lane.firstOnTime();
-            if (first.isPresent()) {
-                onTime.add(first.get());
-            } else {
-                lane.firstLate(now).ifPresent(late::add);
+            if (lane.size() > 0) {
+                lane.sortOutLate(now, serviceTime);
+                onTime = earlierDue(onTime, lane.firstOnTime(rule));
             }
         }
-        onTime.sort(Comparator.comparing(WorkItem::due));
-        late.sort(Comparator.comparing(WorkItem::due));
-        onTime.addAll(late);
-        for (WorkItem item : onTime) {
-            if (rule.mayStart(item)) {
-                return Optional.of(item);
-            }
+        if (onTime.isPresent()) {
+            return onTime;
+        }
+        Optional<WorkItem> late = Optional.empty();
+        for (Lane lane : lanes.values()) {
+            late = earlierDue(late, lane.firstLate(rule, now));
+        }
+        return late;
+    }
+
+    private static Optional<WorkItem> earlierDue(Optional<WorkItem> first, Optional<WorkItem> second) {
+        if (first.isEmpty() || second.isEmpty()) {
+            return first.isPresent() ? first : second;
         }
-        return Optional.empty();
+        return second.get().due().compareTo(first.get().due()) < 0 ? second : first;
     }
 
     /** Returns the late item whose place a new item may take: the one closest to its deadline. */
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/admission/StartRule.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/admission/StartRule.java
@@ -3,8 +3,7 @@
 /**
  * Decides whether an item may start now: an endpoint has room for it, and the spending policy does not hold it back.
  *
- * <p>The queue asks about the first item of each rank and access. When that one may not start, the items behind it
- * are not considered.
+ * <p>The queue asks about the first items of each rank and access. An answer must not change what later answers are.
  */
 @FunctionalInterface
 public interface StartRule {
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/admission/RankedAdmissionQueueTest.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/admission/RankedAdmissionQueueTest.java
@@ -213,5 +213,20 @@
                 assertThat(queue.take(StartRule.ANY, ms(1)).orElseThrow().id()).isEqualTo(1);
             }
         }
+
+        /** Guards against a read that must wait for its session's write and holds up the reads behind it. */
+        @Test
+        void aReadThatMustWaitDoesNotHoldUpOthers() {
+            RankedAdmissionQueue queue = queue();
+            queue.offer(item(1, URGENT, 0, 5_000), ms(0));
+            queue.offer(item(2, URGENT, 50, 5_000), ms(50));
+            queue.offer(item(3, URGENT, 60, 5_000), ms(60));
+            StartRule onlyThird = candidate -> candidate.id() == 3;
+            assertThat(queue.take(onlyThird, ms(60)).orElseThrow().id()).isEqualTo(3);
+            StartRule onlyFirst = candidate -> candidate.id() == 1;
+            assertThat(queue.take(onlyFirst, ms(120)).orElseThrow().id())
+                    .as("late work behind deferred work")
+                    .isEqualTo(1);
+        }
     }
 }
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/routing/NearestReplicaRoutingTest.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/routing/NearestReplicaRoutingTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
 
@@ -24,7 +25,6 @@
 
     private static final Instant NOW = Instant.parse("2026-03-01T12:00:00Z");
     private static final FailureDomain DOMAIN = FailureDomain.of("arq-cayma");
-    private static final EndpointName PRIMARY = EndpointName.of("primary");
 
     private final ReadRouting routing = NearestReplicaRouting.create();
     private final RandomGenerator random = new Random(5);
@@ -41,13 +41,13 @@
         return new ReadNeeds(Optional.of(LogPoint.of(term, position)), Optional.empty(), NOW, List.of());
     }
 
-    /** Builds a view of an endpoint at position 100 of term 1, without lag, with a limit of 4. */
+    /** Builds a view of an endpoint at position 100 of term 1, without lag, with a latency of 5 ms and a limit of 4. */
     private static final class View {
         private final String name;
         private LogPoint point = LogPoint.of(1, 100);
-        private Instant pointTime = NOW;
-        private Instant observed = NOW;
-        private int latencyMillis = 5;
+        private long pointAge;
+        private long observedAge;
+        private int latency = 5;
         private int outstanding;
         private boolean leaving;
         private boolean reachable = true;
@@ -56,46 +56,24 @@
             this.name = name;
         }
 
-        View latency(int millis) {
-            latencyMillis = millis;
-            return this;
-        }
-
-        View outstanding(int count) {
-            outstanding = count;
-            return this;
-        }
-
-        View leaving() {
-            leaving = true;
-            return this;
-        }
-
-        View unreachable() {
-            reachable = false;
-            return this;
-        }
-
-        View point(long term, long position) {
-            point = LogPoint.of(term, position);
-            return this;
-        }
-
-        View times(long pointAgeMillis, long observedAgeMillis) {
-            pointTime = NOW.minusMillis(pointAgeMillis);
-            observed = NOW.minusMillis(observedAgeMillis);
+        View with(Consumer<View> change) {
+            change.accept(this);
             return this;
         }
 
         EndpointView build() {
+            boolean primary = name.equals("primary");
+            Instant pointTime = NOW.minusMillis(pointAge);
+            Instant observed = NOW.minusMillis(observedAge);
+            EndpointName endpoint = EndpointName.of(name);
             return new EndpointView(
-                    EndpointName.of(name),
+                    endpoint,
                     DOMAIN,
-                    name.equals(PRIMARY.value()),
+                    primary,
                     point,
                     pointTime,
                     observed,
-                    ms(latencyMillis),
+                    ms(latency),
                     outstanding,
                     4,
                     leaving,
@@ -107,6 +85,33 @@
         return new View(name);
     }
 
+    private static View view(String name, int latency, int outstanding) {
+        return view(name).with(view -> {
+            view.latency = latency;
+            view.outstanding = outstanding;
+        });
+    }
+
+    private static View view(String name, long position, long pointAge, long observedAge) {
+        return view(name).with(view -> {
+            view.point = LogPoint.of(1, position);
+            view.pointAge = pointAge;
+            view.observedAge = observedAge;
+        });
+    }
+
+    private static View inTerm(String name, long term, long position) {
+        return view(name).with(view -> view.point = LogPoint.of(term, position));
+    }
+
+    private static View leaving(String name) {
+        return view(name).with(view -> view.leaving = true);
+    }
+
+    private static View unreachable(String name) {
+        return view(name).with(view -> view.reachable = false);
+    }
+
     private Route choose(ReadNeeds needs, View... views) {
         List<EndpointView> endpoints = new ArrayList<>();
         for (View view : views) {
@@ -139,11 +144,7 @@
             int best = 0;
             int loaded = 0;
             for (int read = 0; read < 3_000; read++) {
-                Route route = choose(
-                        stale(1_000),
-                        view("best"),
-                        view("busy").outstanding(3),
-                        view("some").outstanding(1));
+                Route route = choose(stale(1_000), view("best"), view("busy", 5, 3), view("some", 5, 1));
                 best += route.equals(to("best", true)) ? 1 : 0;
                 loaded += route.equals(to("busy", true)) ? 1 : 0;
             }
@@ -156,7 +157,7 @@
         void anUnmeasuredReplicaCountsAsAverage() {
             int fresh = 0;
             for (int read = 0; read < 1_000; read++) {
-                Route route = choose(stale(1_000), view("known"), view("fresh").latency(0));
+                Route route = choose(stale(1_000), view("known"), view("fresh", 0, 0));
                 fresh += route.equals(to("fresh", true)) ? 1 : 0;
             }
             assertThat(fresh).isBetween(400, 600);
@@ -171,10 +172,7 @@
         void aSlowReplicaOnlyGetsProbes() {
             int slow = 0;
             for (int read = 0; read < 2_000; read++) {
-                slow += choose(stale(1_000), view("fast"), view("slow").latency(500))
-                                .equals(to("slow", true))
-                        ? 1
-                        : 0;
+                slow += choose(stale(1_000), view("fast"), view("slow", 500, 0)).equals(to("slow", true)) ? 1 : 0;
             }
             assertThat(slow).isBetween(60, 140);
         }
@@ -183,10 +181,7 @@
         @Test
         void oneProbeAtATime() {
             for (int read = 0; read < 1_000; read++) {
-                assertThat(choose(
-                                stale(1_000),
-                                view("fast"),
-                                view("slow").latency(500).outstanding(1)))
+                assertThat(choose(stale(1_000), view("fast"), view("slow", 500, 1)))
                         .isEqualTo(to("fast", true));
             }
         }
@@ -194,11 +189,9 @@
         /** Guards against a far slower replica that fills up whenever the fast one is busy. */
         @Test
         void fullReplicasPassReadsToModeratelySlowOnesOnly() {
-            View fast = view("fast").outstanding(4);
-            assertThat(choose(stale(1_000), fast, view("slow").latency(30).outstanding(1)))
-                    .isEqualTo(to("slow", true));
-            assertThat(choose(stale(1_000), fast, view("slow").latency(500).outstanding(1)))
-                    .isEqualTo(new Route.Wait());
+            View fast = view("fast", 5, 4);
+            assertThat(choose(stale(1_000), fast, view("slow", 30, 1))).isEqualTo(to("slow", true));
+            assertThat(choose(stale(1_000), fast, view("slow", 500, 1))).isEqualTo(new Route.Wait());
         }
 
         /** Guards against a tracker that misses a slow-down or forgets it at the first fast answer. */
@@ -226,26 +219,24 @@
                 assertThat(choose(
                                 stale(1_000),
                                 view("primary"),
-                                view("gone").unreachable(),
-                                view("stops").leaving(),
-                                view("replica").latency(20)))
+                                unreachable("gone"),
+                                leaving("stops"),
+                                view("replica", 20, 0)))
                         .isEqualTo(to("replica", true));
             }
-            assertThat(choose(stale(1_000), view("primary"), view("stops").leaving()))
-                    .isEqualTo(to("primary", true));
-            Route none = choose(
-                    stale(1_000), view("primary").leaving(), view("stops").leaving());
+            assertThat(choose(stale(1_000), view("primary"), leaving("stops"))).isEqualTo(to("primary", true));
+            Route none = choose(stale(1_000), leaving("primary"), leaving("stops"));
             assertThat(((Route.Refuse) none).failure().kind()).isEqualTo(ErrorKind.NO_ELIGIBLE_ENDPOINT);
         }
 
         /** Guards against stale reads, with the tolerance for clocks added to the age. */
         @Test
         void staleReplicasAreLeftOut() {
-            assertThat(choose(stale(200), view("primary"), view("replica").times(150, 0)))
+            assertThat(choose(stale(200), view("primary"), view("replica", 100, 150, 0)))
                     .isEqualTo(to("replica", true));
-            assertThat(choose(stale(200), view("primary"), view("replica").times(151, 0)))
+            assertThat(choose(stale(200), view("primary"), view("replica", 100, 151, 0)))
                     .isEqualTo(to("primary", true));
-            assertThat(choose(stale(200), view("primary"), view("replica").times(5_100, 5_000)))
+            assertThat(choose(stale(200), view("primary"), view("replica", 100, 5_100, 5_000)))
                     .isEqualTo(to("replica", false));
         }
 
@@ -254,13 +245,10 @@
         void aSessionReadsWhereItsWriteIs() {
             assertThat(choose(session(1, 100), view("primary"), view("replica")))
                     .isEqualTo(to("replica", true));
-            assertThat(choose(
-                            session(1, 101),
-                            view("primary").point(1, 101),
-                            view("replica").times(20, 0)))
+            assertThat(choose(session(1, 101), inTerm("primary", 1, 101), view("replica", 100, 20, 0)))
                     .isEqualTo(to("primary", true));
-            View lastSeenAWhileAgo = view("replica").times(420, 400);
-            assertThat(choose(session(1, 101), view("primary").point(1, 101).times(300, 300), lastSeenAWhileAgo))
+            View lastSeenAWhileAgo = view("replica", 100, 420, 400);
+            assertThat(choose(session(1, 101), view("primary", 101, 300, 300), lastSeenAWhileAgo))
                     .isEqualTo(to("replica", false));
         }
 
@@ -269,11 +257,10 @@
         void aFormerPrimaryIsLeftOut() {
             ReadNeeds needs = new ReadNeeds(
                     Optional.of(LogPoint.of(1, 80)), Optional.empty(), NOW, List.of(new TermStart(Term.of(2), 90)));
-            assertThat(choose(
-                            needs, view("primary").point(2, 95), view("former").point(1, 100)))
+            assertThat(choose(needs, inTerm("primary", 2, 95), inTerm("former", 1, 100)))
                     .isEqualTo(to("primary", true));
             ReadNeeds lost = new ReadNeeds(Optional.of(LogPoint.of(1, 91)), Optional.empty(), NOW, needs.termStarts());
-            Route refused = choose(lost, view("primary").point(2, 95));
+            Route refused = choose(lost, inTerm("primary", 2, 95));
             assertThat(((Route.Refuse) refused).failure().kind()).isEqualTo(ErrorKind.SESSION_WRITE_LOST);
         }
 
@@ -282,20 +269,17 @@
         void currentReadsRunAtThePrimary() {
             ReadNeeds current = new ReadNeeds(Optional.empty(), Optional.of(Duration.ZERO), NOW, List.of());
             assertThat(choose(current, view("primary"), view("replica"))).isEqualTo(to("primary", true));
-            assertThat(choose(current, view("primary").outstanding(4), view("replica")))
-                    .isEqualTo(new Route.Wait());
-            Route none = choose(current, view("primary").unreachable(), view("replica"));
+            assertThat(choose(current, view("primary", 5, 4), view("replica"))).isEqualTo(new Route.Wait());
+            Route none = choose(current, unreachable("primary"), view("replica"));
             assertThat(((Route.Refuse) none).failure().kind()).isEqualTo(ErrorKind.NO_PRIMARY);
         }
 
         /** Guards against reads that take the whole primary from the writes while replicas are busy. */
         @Test
         void busyReplicasPassReadsToHalfOfThePrimary() {
-            View busy = view("replica").outstanding(4);
-            assertThat(choose(stale(1_000), view("primary").outstanding(1), busy))
-                    .isEqualTo(to("primary", true));
-            assertThat(choose(stale(1_000), view("primary").outstanding(2), busy))
-                    .isEqualTo(new Route.Wait());
+            View busy = view("replica", 5, 4);
+            assertThat(choose(stale(1_000), view("primary", 5, 1), busy)).isEqualTo(to("primary", true));
+            assertThat(choose(stale(1_000), view("primary", 5, 2), busy)).isEqualTo(new Route.Wait());
         }
     }
 }
