Check clock drift and resurrected entries in the promotion property

The runs now use a drift bound of 0.02, so that drift outweighs message delays: a wait that ignores the drift fails.

Two checks are new: a planned candidate holds every acknowledged write when the record names it, and a new primary has no entry past the start of a later term.

--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/promotion/CoordinatorHost.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/promotion/CoordinatorHost.java
@@ -26,7 +26,8 @@
         this.run = run;
         this.network = run.network;
         this.node = node;
-        this.clock = SimulatedNetwork.Clock.drifting(network.random);
+        this.clock = SimulatedNetwork.Clock.drifting(
+                network.random, run.guards.holder().clockDriftBound());
     }
 
     boolean isIdle() {
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/promotion/FakeEndpoint.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/promotion/FakeEndpoint.java
@@ -97,6 +97,13 @@
         return primary && term == wanted;
     }
 
+    /** Returns whether no entry of an earlier term lies past the start of the term, where sessions count it as lost. */
+    boolean agreesWith(TermStart later) {
+        return log.stream()
+                .skip(later.position())
+                .allMatch(entry -> entry.term() >= later.term().number());
+    }
+
     boolean has(int write, int position) {
         return position <= log.size() && log.get(position - 1).write() == write;
     }
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/promotion/PromotionRun.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/promotion/PromotionRun.java
@@ -4,9 +4,11 @@
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.IntStream;
 
 import org.lavenderwick.core.model.EndpointName;
@@ -60,7 +62,7 @@
     private final List<CoordinatorHost> hosts = new ArrayList<>();
     private final List<Acknowledged> acknowledged = new ArrayList<>();
     private final Map<Long, EndpointName> primaryOfTerm = new HashMap<>();
-    private final Map<Long, GroupRecord> plannedTerms = new HashMap<>();
+    private final Set<Long> plannedTerms = new HashSet<>();
     private final Map<Event, Integer> events = new EnumMap<>(Event.class);
     private GroupRecord lastWritten;
     private long newestTerm = 1;
@@ -180,12 +182,10 @@
     private void recordWritten(GroupRecord record) {
         long term = record.term().number();
         if (record.state() == GroupState.PROMOTING && record.planned()) {
-            long start = record.termStarts().get(record.termStarts().size() - 1).position();
-            for (Acknowledged write : acknowledged) {
-                check(write.term() != term - 1 || write.position() <= start, "planned loss of " + write);
-            }
-            plannedTerms.put(term, record);
+            plannedTerms.add(term);
+            checkNothingLost(endpoint(record.primary()), term);
         }
+        check(lastWritten == null || record.fencingToken() >= lastWritten.fencingToken(), "fenced write");
         if (lastWritten != null && record.term().equals(lastWritten.term())) {
             if (record.state() == lastWritten.state()) {
                 count(Event.TAKEN_OVER);
@@ -210,16 +210,24 @@
             newestTerm = Math.max(newestTerm, term);
             EndpointName former = primaryOfTerm.putIfAbsent(term, endpoint.name);
             check(former == null || former.equals(endpoint.name), "second primary of term " + term);
-            if (plannedTerms.containsKey(term)) {
-                acknowledged.stream()
-                        .filter(write -> write.term() == term - 1)
-                        .forEach(write ->
-                                check(endpoint.has(write.write(), write.position()), "planned loss of " + write));
+            if (plannedTerms.contains(term)) {
+                checkNothingLost(endpoint, term);
+            }
+            for (TermStart later : platform.record().termStarts()) {
+                boolean agrees = later.term().number() > term || endpoint.agreesWith(later);
+                check(agrees, "entry past the start of " + later);
             }
         }
         return report;
     }
 
+    private void checkNothingLost(FakeEndpoint candidate, long term) {
+        for (Acknowledged write : acknowledged) {
+            boolean kept = write.term() != term - 1 || candidate.has(write.write(), write.position());
+            check(kept, "planned loss of " + write);
+        }
+    }
+
     void acknowledged(long term, int write, int position) {
         check(newestTerm <= term, "late acknowledgement in term " + term + " after term " + newestTerm);
         acknowledged.add(new Acknowledged(term, write, position));
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/promotion/PromotionSafetyTest.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/promotion/PromotionSafetyTest.java
@@ -27,14 +27,18 @@
     /** Events of a whole run; about three times what the longest of 200,000 runs took. */
     private static final long MAX_EVENTS = 20_000;
 
-    /** A shorter lease than in the fleet, so that more leases lapse in a run. */
-    private static final PromotionTimings TIMINGS = timings(PromotionTimings.EVIDENCE_MAX_AGE, PromotionTimings.MARGIN);
+    /** Twenty times the bound of the fleet, so that the drift outweighs the delays of messages. */
+    private static final double DRIFT_BOUND = 0.02;
 
-    private static PromotionTimings timings(Duration evidenceMaxAge, Duration margin) {
+    private static final PromotionTimings TIMINGS =
+            timings(PromotionTimings.EVIDENCE_MAX_AGE, DRIFT_BOUND, PromotionTimings.MARGIN);
+
+    /** The lease is shorter than in the fleet, so that more leases lapse in a run. */
+    private static PromotionTimings timings(Duration evidenceMaxAge, double driftBound, Duration margin) {
         PromotionTimings fleet = PromotionTimings.DEFAULT;
         return new PromotionTimings(
                 evidenceMaxAge,
-                fleet.clockDriftBound(),
+                driftBound,
                 margin,
                 fleet.probeInterval(),
                 fleet.suspicionAfter(),
@@ -105,19 +109,19 @@
 
         @Test
         void failsWithoutTheWait() {
-            PromotionTimings noWait = timings(Duration.ofNanos(1), Duration.ZERO);
+            PromotionTimings noWait = timings(Duration.ofNanos(1), DRIFT_BOUND, Duration.ZERO);
             assertFails(new PromotionRun.Guards(noWait, TIMINGS, true, false), "late acknowledgement");
         }
 
         @Test
-        void failsWithAWaitBelowTheAgeOfEvidence() {
-            PromotionTimings shortWait = timings(Duration.ofMillis(1_400), Duration.ZERO);
-            assertFails(new PromotionRun.Guards(shortWait, TIMINGS, true, false), "late acknowledgement");
+        void failsWithAWaitThatIgnoresDrift() {
+            PromotionTimings noDrift = timings(PromotionTimings.EVIDENCE_MAX_AGE, 0, Duration.ZERO);
+            assertFails(new PromotionRun.Guards(noDrift, TIMINGS, true, false), "late acknowledgement");
         }
 
         @Test
         void failsWithoutTheEvidenceCheck() {
-            PromotionTimings unlimited = timings(Duration.ofDays(1), PromotionTimings.MARGIN);
+            PromotionTimings unlimited = timings(Duration.ofDays(1), DRIFT_BOUND, PromotionTimings.MARGIN);
             assertFails(new PromotionRun.Guards(TIMINGS, unlimited, true, false), "late acknowledgement");
         }
 
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/promotion/SimulatedNetwork.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/promotion/SimulatedNetwork.java
@@ -88,11 +88,11 @@
         return kind < 10 ? random.nextLong(800 * MILLIS) : random.nextLong(MILLIS / 5, 2 * MILLIS);
     }
 
-    /** A monotonic clock with an arbitrary origin and a rate error within the bound. */
+    /** A monotonic clock with an arbitrary origin and a rate error at the bound, or none. */
     record Clock(long origin, double rate) {
 
-        static Clock drifting(SplittableRandom random) {
-            double drift = PromotionTimings.CLOCK_DRIFT_BOUND * (random.nextInt(3) - 1);
+        static Clock drifting(SplittableRandom random, double bound) {
+            double drift = bound * (random.nextInt(3) - 1);
             return new Clock(random.nextLong(1_000_000 * MILLIS), 1 + drift);
         }
 
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/promotion/WritingHolder.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/promotion/WritingHolder.java
@@ -23,7 +23,8 @@
         this.run = run;
         this.network = run.network;
         this.node = node;
-        this.clock = SimulatedNetwork.Clock.drifting(network.random);
+        this.clock = SimulatedNetwork.Clock.drifting(
+                network.random, run.guards.holder().clockDriftBound());
         this.evidence = TermEvidence.create(run.endpointNames(), run.guards.holder());
         this.primary = run.endpointNames().get(0);
         scheduleWrite();
