--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/promotion/PrimaryMonitor.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/promotion/PrimaryMonitor.java
@@ -23,7 +23,7 @@
     private final int majority;
     private final PromotionTimings timings;
 
-    private final Map<EndpointName, Duration> answeredAt = new HashMap<>();
+    private final Map<EndpointName, ReplicaProgress> replicas = new HashMap<>();
     private final Map<EndpointName, Duration> probedAt = new HashMap<>();
 
     private GroupRecord record;
@@ -32,9 +32,6 @@
     private Duration unansweredSince;
     private Duration lastTick;
     private Duration lastStart;
-    private Instant primaryStamp;
-    private Instant replicaStamp;
-    private Duration replicaStampRoseAt;
 
     private PrimaryMonitor(List<EndpointName> endpoints, PromotionTimings timings) {
         checkArgument(!endpoints.isEmpty(), "a group needs an endpoint");
@@ -57,8 +54,6 @@
                 || !seen.primary().equals(record.primary())
                 || !seen.term().equals(record.term())) {
             resetSilence(now);
-            primaryStamp = null;
-            replicaStamp = null;
         }
         record = seen;
         recordSince = now;
@@ -66,22 +61,18 @@
 
     /** Takes note of an answer of an endpoint. */
     public List<MonitorAction> answered(EndpointReport report, Duration now) {
-        answeredAt.put(report.endpoint(), now);
         if (record == null) {
             return ImmutableList.of();
         }
         if (!report.endpoint().equals(record.primary())) {
-            if (replicaStamp == null || report.pointTime().isAfter(replicaStamp)) {
-                replicaStamp = report.pointTime();
-                replicaStampRoseAt = now;
+            if (unansweredSince != null && endpoints.contains(report.endpoint())) {
+                replicas.computeIfAbsent(report.endpoint(), name -> new ReplicaProgress())
+                        .answered(report.pointTime(), now);
             }
             return ImmutableList.of();
         }
         boolean withdraw = lastStart != null && record.state() == GroupState.OPEN;
         resetSilence(now);
-        if (primaryStamp == null || report.pointTime().isAfter(primaryStamp)) {
-            primaryStamp = report.pointTime();
-        }
         return withdraw ? ImmutableList.of(new MonitorAction.WithdrawPromotion(record.term())) : ImmutableList.of();
     }
 
@@ -117,36 +108,22 @@
 
     /** Returns whether the primary is unreachable for everyone who could be asked. */
     private boolean isSuspected(Duration now) {
-        return now.minus(silentSince).compareTo(timings.suspicionAfter()) >= 0
-                && unansweredSince != null
-                && now.minus(unansweredSince).compareTo(timings.probeInterval()) >= 0
-                && answeringReplicas() >= majority
-                && !replicasReportProgress(now);
-    }
-
-    private long answeringReplicas() {
-        return endpoints.stream()
-                .filter(endpoint -> !endpoint.equals(record.primary()))
-                .map(answeredAt::get)
-                .filter(at -> at != null && at.compareTo(unansweredSince) >= 0)
-                .count();
-    }
-
-    /**
-     * Returns whether the newest stamp of the primary that replicas know rose lately. A rise that can come from a
-     * backlog does not count: a primary that died just before its probe may have stamped entries for up to a probe
-     * interval after its last answer. Only stamps of the primary's own clock are compared.
-     */
-    private boolean replicasReportProgress(Duration now) {
-        boolean roseLately =
-                replicaStamp != null && now.minus(replicaStampRoseAt).compareTo(timings.suspicionAfter()) < 0;
-        boolean backlog = primaryStamp != null && !replicaStamp.isAfter(primaryStamp.plus(timings.probeInterval()));
-        return roseLately && !backlog;
+        if (unansweredSince == null
+                || now.minus(unansweredSince).compareTo(timings.probeInterval()) < 0
+                || now.minus(silentSince).compareTo(timings.suspicionAfter()) < 0) {
+            return false;
+        }
+        List<ReplicaProgress> answering = replicas.values().stream()
+                .filter(replica -> now.minus(replica.stampAt).compareTo(timings.suspicionAfter()) < 0)
+                .toList();
+        return answering.stream().filter(replica -> replica.compared).count() >= majority
+                && answering.stream().noneMatch(replica -> replica.risen);
     }
 
     private boolean isProbeDue(EndpointName endpoint, Duration now) {
         Duration last = probedAt.get(endpoint);
-        return last == null || now.minus(last).compareTo(timings.probeInterval()) >= 0;
+        Duration interval = endpoint.equals(record.primary()) ? timings.probeInterval() : replicaProbeInterval();
+        return last == null || now.minus(last).compareTo(interval) >= 0;
     }
 
     private MonitorAction probe(EndpointName endpoint, Duration now) {
@@ -170,5 +147,41 @@
         silentSince = now;
         unansweredSince = null;
         lastStart = null;
+        replicas.clear();
+    }
+
+    /** Replicas are asked twice before the primary is suspected. */
+    private Duration replicaProbeInterval() {
+        return timings.probeInterval().dividedBy(2);
+    }
+
+    /** Somewhat less than the interval of the probes, whose answers arrive unevenly. */
+    private Duration comparisonInterval() {
+        return timings.probeInterval().multipliedBy(2).dividedBy(5);
+    }
+
+    /**
+     * What one replica reports during the silence of the primary. A stamp of the primary that rises between two answers
+     * shows that the primary is alive, or that the replica still applies what it received; both forbid a promotion.
+     * Answers closer together than the interval are not compared, since heartbeats of the primary lie between them.
+     */
+    private final class ReplicaProgress {
+
+        private Instant stamp;
+        private Duration stampAt;
+        private boolean compared;
+        private boolean risen;
+
+        private void answered(Instant newStamp, Duration now) {
+            if (stamp == null) {
+                stamp = newStamp;
+                stampAt = now;
+            } else if (now.minus(stampAt).compareTo(comparisonInterval()) >= 0) {
+                compared = true;
+                risen = newStamp.isAfter(stamp);
+                stamp = newStamp;
+                stampAt = now;
+            }
+        }
     }
 }
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/promotion/RecordTransitions.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/promotion/RecordTransitions.java
@@ -86,21 +86,20 @@
     }
 
     /**
-     * Adds a start. When the list is full, a start that is not below a later one goes first, because it bounds no log
-     * that the later one does not bound; only then the oldest.
+     * Adds a start. When the list is full, a start that is not below the next one goes first, because it bounds no log
+     * that the next one does not bound. The oldest start shows how far the list reaches back, so it goes last.
      */
     private static List<TermStart> withStart(List<TermStart> starts, TermStart added) {
         List<TermStart> result = new ArrayList<>(starts);
         result.add(added);
         if (result.size() > MAX_TERM_STARTS) {
-            int redundant = 0;
-            for (int i = 0; i + 1 < result.size(); i++) {
-                if (result.get(i).position() >= result.get(i + 1).position()) {
-                    redundant = i;
-                    break;
-                }
+            int redundant = 1;
+            while (redundant + 1 < result.size()
+                    && result.get(redundant).position()
+                            < result.get(redundant + 1).position()) {
+                redundant++;
             }
-            result.remove(redundant);
+            result.remove(redundant + 1 < result.size() ? redundant : 0);
         }
         return ImmutableList.copyOf(result);
     }
