--- /dev/null
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/audit/package-info.java
@@ -0,0 +1,2 @@
+/** The audit log on the platform. */
+package org.lavenderwick.adapters.audit;
--- a/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/sheet/SheetBuilder.java
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/sheet/SheetBuilder.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -37,6 +36,7 @@
     private final Map<String, Service> services = new LinkedHashMap<>();
     private final Map<String, Group> groups = new LinkedHashMap<>();
     private final Set<String> addresses = new HashSet<>();
+    private final Set<String> endpointNames = new HashSet<>();
     private final List<SheetRow> stopRows = new ArrayList<>();
     private final List<PlannedStop> stops = new ArrayList<>();
 
@@ -54,7 +54,7 @@
 
     private static final class Group {
         private final SheetRow row;
-        private final Map<String, SheetRow> endpointRows = new HashMap<>();
+        private final Set<String> endpointNames = new HashSet<>();
         private final List<EndpointSettings> endpoints = new ArrayList<>();
         private String service;
 
@@ -101,7 +101,7 @@
             }
         });
         groups.forEach((name, group) -> {
-            if (group.endpointRows.isEmpty()) {
+            if (group.endpointNames.isEmpty()) {
                 group.row.report(SheetColumn.NAME, "names a group without a row of kind endpoint");
             }
         });
@@ -187,8 +187,10 @@
         if (group.isEmpty() || name.isEmpty()) {
             return;
         }
-        if (group.get().endpointRows.putIfAbsent(name.get(), row) != null) {
-            row.report(SheetColumn.NAME, "names the endpoint \"" + name.get() + "\" of this group a second time");
+        group.get().endpointNames.add(name.get());
+        // Logs, metrics and orders of operators name endpoints without their group.
+        if (!endpointNames.add(name.get())) {
+            row.report(SheetColumn.NAME, "names the endpoint \"" + name.get() + "\" a second time");
         }
         if (domain.isPresent() && address.isPresent() && connections.isPresent() && slots.isPresent()) {
             group.get()
@@ -209,7 +211,7 @@
         Optional<Instant> until = row.time(SheetColumn.UNTIL);
         if (group.isPresent()
                 && endpoint.isPresent()
-                && !group.get().endpointRows.containsKey(endpoint.get())) {
+                && !group.get().endpointNames.contains(endpoint.get())) {
             row.report(SheetColumn.NAME, "is \"" + endpoint.get() + "\", which is no endpoint of the group");
         }
         if (from.isEmpty() || until.isEmpty()) {
--- /dev/null
+++ b/lavenderwick-cli/src/main/java/org/lavenderwick/cli/Main.java
@@ -0,0 +1,29 @@
+package org.lavenderwick.cli;
+
+import java.util.List;
+
+/** The program {@code lavenderwick}. */
+public final class Main {
+
+    private Main() {}
+
+    /** Runs one command and ends the process with its exit code. */
+    public static void main(String[] arguments) {
+        System.setProperty("logback.configurationFile", "org/lavenderwick/cli/log.xml");
+        ExitCode code = CommandLine.of(commands()).run(Terminal.of(System.out, System.err), arguments);
+        System.out.flush();
+        System.exit(code.number());
+    }
+
+    /** Returns all commands. */
+    static List<Command> commands() {
+        return List.of(
+                new SheetCheckCommand(),
+                new SheetImportCommand(),
+                new SheetApplyCommand(),
+                new StatusCommand(),
+                new DrainCommand(),
+                new PromoteCommand(),
+                new AuditCommand());
+    }
+}
--- /dev/null
+++ b/lavenderwick-cli/src/main/java/org/lavenderwick/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' tool {@code lavenderwick}. */
+package org.lavenderwick.cli;
