--- a/lavenderwick-standins/src/main/java/org/lavenderwick/standins/GroupEmulator.java
+++ b/lavenderwick-standins/src/main/java/org/lavenderwick/standins/GroupEmulator.java
@@ -132,6 +132,7 @@
             replica.promise(term.number(), clock.instant());
             replica.beginTerm(term.number(), start);
             replica.primary(true);
+            history.record(new HistoryEvent.TermBegan(clock.instant(), name, endpoint, term, start));
             recordTerm(replica);
             retryWaiting(replica);
         }
@@ -142,6 +143,9 @@
     synchronized void execute(
             EndpointName endpoint, EndpointSession session, ExecuteRequest request, Consumer<ExecuteAnswer> receiver) {
         Replica replica = replica(endpoint);
+        if (!replica.alive()) {
+            return;
+        }
         RequestRunner.Work work = new RequestRunner.Work(session, request);
         Optional<ExecuteAnswer> answer = runner.attempt(replica, work);
         if (answer.isPresent()) {
@@ -153,6 +157,10 @@
         }
         Waiting entry = new Waiting(work, receiver);
         waiting.get(endpoint).add(entry);
+        scheduleExpiry(replica, entry);
+    }
+
+    private void scheduleExpiry(Replica replica, Waiting entry) {
         runtime.timer()
                 .schedule(() -> expire(replica, entry), options.lockTimeout().toNanos(), TimeUnit.NANOSECONDS);
     }
@@ -229,7 +237,7 @@
         boolean truncated = truncate(replica, replica.commonPosition(primary));
         Optional<LogEntry> applied = replica.applyNext(primary, horizon);
         while (applied.isPresent()) {
-            runner.recordWrites(replica, applied.get());
+            runner.recordWrites(replica, applied.get(), false);
             applied = replica.applyNext(primary, horizon);
         }
         replica.adoptHistory(primary, horizon, truncated);
@@ -272,7 +280,9 @@
     }
 
     private synchronized void expire(Replica replica, Waiting entry) {
-        if (waiting.get(replica.name()).remove(entry)) {
+        if (replica.paused()) {
+            scheduleExpiry(replica, entry);
+        } else if (waiting.get(replica.name()).remove(entry)) {
             String detail = "The wait for a row lock timed out.";
             if (entry.work().request().step() != TransactionStep.SINGLE) {
                 runner.rollBack(replica, entry.work().session(), detail);
