Spread claims of new seats and renewals of leases

Daemons that start together see the same table and tried the same free numbers one after another. A claim now keeps the seat whose lease it has after a conflict, and spreads its choice over twice as many numbers after each refusal.

--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/membership/SeatCandidates.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/membership/SeatCandidates.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import java.util.random.RandomGenerator;
 
 import org.lavenderwick.core.model.DaemonName;
 import org.lavenderwick.core.model.FailureDomain;
@@ -12,20 +13,31 @@
     /** Seats of dead holders that a claim tries before it opens a new seat. */
     private static final int MAX_TAKEOVER_ATTEMPTS = 3;
 
+    /** Largest number of new seats among which a claim chooses; a failure domain has some hundred daemons. */
+    private static final int MAX_SPREAD = 256;
+
     private final DaemonName daemon;
     private final FailureDomain domain;
+    private final RandomGenerator random;
     private final Set<SeatId> refused = new HashSet<>();
 
-    SeatCandidates(DaemonName daemon, FailureDomain domain) {
+    SeatCandidates(DaemonName daemon, FailureDomain domain, RandomGenerator random) {
         this.daemon = daemon;
         this.domain = domain;
+        this.random = random;
     }
 
     /**
      * Returns the seat of an earlier incarnation of the daemon, else a seat whose holder is missing from the host list,
-     * so that few groups move, else a new seat. Seats that were refused are left out.
+     * so that few groups move, else a new seat. Seats that were refused are left out. A new seat whose lease the
+     * claim already has is kept while nobody else got it.
+     *
+     * <p>The first new seat tried has the lowest free number. After each refusal the choice is spread over twice as
+     * many numbers, because daemons that start together all see the same table.
+     *
+     * @param leased the seat whose lease the claim has, or null
      */
-    SeatId next(SeatTable table, Set<DaemonName> liveDaemons) {
+    SeatId next(SeatTable table, Set<DaemonName> liveDaemons, SeatId leased) {
         for (Seat held : table.seatsIn(domain)) {
             if (held.daemon().equals(daemon) && !refused.contains(held.id())) {
                 return held.id();
@@ -38,7 +50,11 @@
                 }
             }
         }
-        SeatId open = SeatId.of(domain, table.lowestFreeNumber(domain));
+        if (leased != null && table.seat(leased).isEmpty()) {
+            return leased;
+        }
+        int spread = Math.min(MAX_SPREAD, 1 << Math.min(refused.size(), Integer.SIZE - 2));
+        SeatId open = SeatId.of(domain, table.lowestFreeNumber(domain) + random.nextInt(spread));
         while (refused.contains(open) || table.seat(open).isPresent()) {
             open = SeatId.of(domain, open.number() + 1);
         }
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/membership/SeatClaim.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/membership/SeatClaim.java
@@ -51,7 +51,7 @@
     private final FailureDomain domain;
     private final String address;
     private final SeatCandidates candidates;
-    private final RetryDelay retryDelay;
+    private final SeatTimer timer;
     private final SeatTableView view = new SeatTableView();
     private final CallSlot slot = new CallSlot();
 
@@ -64,8 +64,6 @@
     private boolean leaseLost;
     private Duration suspendedAt = Duration.ZERO;
     private Duration usableFrom = Duration.ZERO;
-    private Duration nextRenewal = Duration.ZERO;
-    private Duration retryAt = Duration.ZERO;
     private Duration lastTick;
 
     private SeatClaim(
@@ -74,8 +72,8 @@
         this.incarnation = incarnation;
         this.domain = domain;
         this.address = address;
-        this.candidates = new SeatCandidates(daemon, domain);
-        this.retryDelay = new RetryDelay(random);
+        this.candidates = new SeatCandidates(daemon, domain, random);
+        this.timer = new SeatTimer(random);
     }
 
     /** Returns a claim for the given process, which has no seat yet. */
@@ -118,8 +116,7 @@
         if (paused && isHolding()) {
             suspended = true;
             suspendedAt = now;
-            nextRenewal = now;
-            retryAt = now;
+            timer.renewNow(now);
             stopUsing(actions);
         }
         return advance(now, actions);
@@ -143,7 +140,7 @@
     /** Reports that the platform gave no answer to a read. */
     public List<SeatAction> onReadFailed(Duration now) {
         slot.close(Call.READ);
-        retryAt = now.plus(retryDelay.next());
+        timer.failed(now);
         return List.of();
     }
 
@@ -155,11 +152,11 @@
         List<SeatAction> actions = new ArrayList<>();
         if (answer == LeaseAnswer.GRANTED) {
             if (isHolding()) {
-                retryDelay.reset();
+                timer.succeeded();
             }
             leaseLost = false;
             suspended = false;
-            nextRenewal = now.plus(RENEWAL_INTERVAL);
+            timer.granted(now);
         } else if (answer == LeaseAnswer.UNKNOWN) {
             onLeaseUnknown(now);
         } else if (isHolding()) {
@@ -176,10 +173,10 @@
         slot.close(Call.WRITE);
         List<SeatAction> actions = new ArrayList<>();
         if (answer == WriteAnswer.WRITTEN) {
-            retryDelay.reset();
+            timer.succeeded();
             adopt(now, view.proposal(), actions);
         } else {
-            retryAt = now.plus(retryDelay.next());
+            timer.failed(now);
         }
         view.forget();
         return advance(now, actions);
@@ -230,7 +227,7 @@
             using = true;
             actions.add(new SeatAction.StartUsing(seat));
         }
-        if (!slot.isFree() || now.compareTo(retryAt) < 0) {
+        if (!slot.isFree() || !timer.mayCall(now)) {
             return actions;
         }
         switch (phase) {
@@ -256,7 +253,7 @@
             slot.open(Call.READ, new SeatAction.ReadTable(), actions);
             return;
         }
-        SeatId candidate = candidates.next(view.read(), view.liveDaemons());
+        SeatId candidate = candidates.next(view.read(), view.liveDaemons(), leased);
         if (!candidate.equals(leased)) {
             releaseLease(actions);
             leased = candidate;
@@ -278,7 +275,7 @@
         } else if (leaseLost) {
             view.forget();
             slot.open(Call.ACQUIRE, new SeatAction.AcquireLease(leased, LEASE_TTL), actions);
-        } else if (now.compareTo(nextRenewal) >= 0) {
+        } else if (timer.renewalDue(now)) {
             slot.open(Call.RENEW, new SeatAction.RenewLease(leased), actions);
         }
     }
@@ -303,7 +300,7 @@
     }
 
     private void onLeaseUnknown(Duration now) {
-        retryAt = now.plus(retryDelay.next());
+        timer.failed(now);
         if (!isHolding()) {
             leased = null;
             view.forget();
@@ -325,7 +322,7 @@
         leaseLost = true;
         suspended = true;
         view.forget();
-        retryAt = now.plus(retryDelay.next());
+        timer.failed(now);
         stopUsing(actions);
     }
 
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/membership/SeatClaimTest.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/membership/SeatClaimTest.java
@@ -1,5 +1,6 @@
 package org.lavenderwick.core.membership;
 
+import java.time.Duration;
 import java.util.Optional;
 
 import net.jqwik.api.ForAll;
@@ -49,6 +50,21 @@
             assertThat(used(third)).contains(seat("cayma", 1));
         }
 
+        /** Guards against a stampede of platform calls when a whole failure domain starts at once. */
+        @Test
+        void aFailureDomainThatStartsAtOnceMakesFewCalls() {
+            fleet.answersPerStep = 1;
+            fleet.step = Duration.ofMillis(20);
+            fleet.stepsPerTick = 50;
+            for (int number = 0; number < 120; number++) {
+                fleet.start("d" + number, "yura");
+            }
+            fleet.run(50 * 60);
+
+            assertThat(fleet.processes).allMatch(process -> used(process).isPresent());
+            assertThat(fleet.calls).isLessThan(120 * 30);
+        }
+
         /** Guards against a second seat when the answer to the write got lost after it took effect. */
         @Test
         void recognisesItsOwnWriteAfterALostAnswer() {
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/membership/SeatFleet.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/membership/SeatFleet.java
@@ -16,7 +16,7 @@
 import org.lavenderwick.core.model.FailureDomain;
 
 /**
- * A fleet of seat claims around a simulated platform, in steps of one second. Platform calls may be lost before or
+ * A fleet of seat claims around a simulated platform, in steps of one second by default. Platform calls may be lost before or
  * after they take effect; processes may be paused, killed or cut off from the platform.
  */
 final class SeatFleet {
@@ -25,6 +25,11 @@
     final List<Process> processes = new ArrayList<>();
     Duration now = Duration.ofHours(1);
     boolean platformUp = true;
+    int answersPerStep = 8;
+    Duration step = Duration.ofSeconds(1);
+    int stepsPerTick = 1;
+    private int steps;
+    int calls;
     SeatTable platformTable;
     long revision;
     private final Map<SeatId, LeaseEntry> leases = new HashMap<>();
@@ -40,9 +45,11 @@
         return process;
     }
 
-    void run(int seconds) {
-        for (int second = 0; second < seconds; second++) {
-            now = now.plusSeconds(1);
+    /** Runs a number of steps; each process ticks once in {@link #stepsPerTick} steps, at its own phase. */
+    void run(int count) {
+        for (int index = 0; index < count; index++) {
+            now = now.plus(step);
+            steps++;
             processes.stream().filter(Process::isRunning).forEach(Process::step);
         }
     }
@@ -97,11 +104,13 @@
         double lossRate;
         Duration pausedUntil = Duration.ZERO;
         SeatTable table = SeatTable.empty();
-        private final Deque<SeatAction> calls = new ArrayDeque<>();
+        private final int phase;
+        private final Deque<SeatAction> openCalls = new ArrayDeque<>();
 
         private Process(String name, FailureDomain domain, long incarnation) {
             this.name = DaemonName.of(name);
             this.domain = domain;
+            this.phase = (int) incarnation;
             this.claim = SeatClaim.create(this.name, incarnation, domain, "127.0.1." + incarnation + ":1", random);
         }
 
@@ -118,19 +127,22 @@
                     leases.computeIfPresent(
                             release.seat(), (id, entry) -> entry.holder().equals(claim.leaseHolder()) ? null : entry);
                 } else {
-                    calls.add(action);
+                    openCalls.add(action);
                 }
             }
         }
 
         void step() {
-            perform(claim.tick(now));
-            for (int answers = 0; answers < 8 && !calls.isEmpty(); answers++) {
-                answer(calls.poll());
+            if ((steps + phase) % stepsPerTick == 0) {
+                perform(claim.tick(now));
+            }
+            for (int answers = 0; answers < answersPerStep && !openCalls.isEmpty(); answers++) {
+                answer(openCalls.poll());
             }
         }
 
         private void answer(SeatAction action) {
+            calls++;
             boolean lost = !platformUp || !connected || random.nextDouble() < lossRate;
             boolean takesEffect = platformUp && connected && (!lost || random.nextBoolean());
             if (action instanceof SeatAction.ReadTable) {
