--- /dev/null
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/FaultTest.java
@@ -0,0 +1,111 @@
+package org.lavenderwick.daemon;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.lavenderwick.core.drain.DrainState;
+import org.lavenderwick.core.model.EndpointName;
+import org.lavenderwick.standins.HistoryEvent;
+import org.lavenderwick.standins.PlatformFaults;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Faults of daemons, endpoints and the platform while requests go on. Each test has its own cluster. */
+class FaultTest {
+    private TestCluster cluster;
+
+    @BeforeEach
+    void start() throws Exception {
+        cluster = TestCluster.start(3);
+    }
+
+    @AfterEach
+    void stop() {
+        cluster.close();
+    }
+
+    private TestCluster.Answer write(Daemon daemon, String key) {
+        return cluster.post(daemon, TestCluster.STATEMENTS, TestCluster.put(key, "v"));
+    }
+
+    @Test
+    void whenTheLeadOwnerStopsTheNextOneServes() throws Exception {
+        Daemon lead = cluster.lead();
+        List<Daemon> others = cluster.others();
+        assertThat(write(others.get(0), "before").status()).isEqualTo(200);
+        lead.close();
+        TestCluster.Answer after = cluster.await(
+                "write through the next owner", () -> write(others.get(0), "after"), answer -> answer.status() == 200);
+        TestCluster.Answer read = cluster.post(
+                others.get(1),
+                TestCluster.STATEMENTS,
+                TestCluster.inSession(TestCluster.get("after"), after.session()));
+        assertThat(read.result(0).path("value").asText()).isEqualTo("v");
+    }
+
+    @Test
+    void aDrainEndsWorkInFlightAndLeavesOpenTransactionsTheirTime() throws Exception {
+        Daemon lead = cluster.lead();
+        Daemon entry = cluster.others().get(0);
+        TestCluster.Answer begun = cluster.post(entry, TestCluster.TRANSACTIONS, "{\"rank\":\"urgent\"}");
+        String handle = "/v1/transactions/" + begun.body().path("transaction").asText();
+        List<CompletableFuture<TestCluster.Answer>> writes = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            writes.add(cluster.postAsync(entry, TestCluster.STATEMENTS, TestCluster.put("drain-" + i, "v")));
+        }
+        CompletableFuture<DrainState> drained = lead.drain();
+        assertThat(lead.ready()).isFalse();
+        for (int i = 0; i < 60; i++) {
+            writes.add(cluster.postAsync(entry, TestCluster.STATEMENTS, TestCluster.put("drain-late-" + i, "v")));
+        }
+        writes.forEach(answer ->
+                assertThat(answer.join().status()).as(answer.join().toString()).isEqualTo(200));
+        assertThat(drained).as("the open transaction holds the drain").isNotDone();
+        TestCluster.Answer step = cluster.post(
+                entry,
+                handle + "/statements",
+                "{\"statements\":[{\"op\":\"put\",\"key\":\"drain-tx\",\"value\":\"v\"}]}");
+        assertThat(step.status()).as(step.toString()).isEqualTo(200);
+        assertThat(cluster.post(entry, handle + "/commit", "").status()).isEqualTo(200);
+        assertThat(drained.get(30, TimeUnit.SECONDS)).isEqualTo(DrainState.DONE);
+        assertThat(lead.status().seat()).isEmpty();
+        assertThat(cluster.post(lead, TestCluster.STATEMENTS, TestCluster.get("x"))
+                        .kind())
+                .isEqualTo("DRAINING");
+    }
+
+    @Test
+    void whenThePrimaryStopsAnotherEndpointIsPromotedAndWritesGoOn() throws Exception {
+        Daemon entry = cluster.daemons().get(0);
+        TestCluster.Answer before = write(entry, "before");
+        cluster.await(
+                "replication", () -> cluster.group().value(EndpointName.of("ledger-2"), "before"), Optional::isPresent);
+        cluster.fleet().endpoint(EndpointName.of("ledger-1")).kill();
+        TestCluster.Answer after =
+                cluster.await("write at a new primary", () -> write(entry, "after"), answer -> answer.status() == 200);
+        assertThat(after.body().path("endpoint").asText()).isNotEqualTo("ledger-1");
+        assertThat(cluster.events(HistoryEvent.TermChanged.class))
+                .anyMatch(event -> event.primary() && event.term().number() == 2);
+        TestCluster.Answer read = cluster.post(
+                cluster.daemons().get(1),
+                TestCluster.STATEMENTS,
+                TestCluster.inSession(TestCluster.get("before"), before.session()));
+        assertThat(read.result(0).path("value").asText()).as(read.toString()).isEqualTo("v");
+    }
+
+    @Test
+    void whenThePlatformIsDownWritesGoOnByTheEvidenceOfTheEndpoints() {
+        assertThat(write(cluster.daemons().get(0), "up").status()).isEqualTo(200);
+        cluster.fleet().platform().faults(PlatformFaults.NONE.withAvailability(PlatformFaults.Availability.REFUSES));
+        for (int i = 0; i < 5; i++) {
+            TestCluster.Answer answer = write(cluster.daemons().get(i % 3), "down-" + i);
+            assertThat(answer.status()).as(answer.toString()).isEqualTo(200);
+        }
+    }
+}
