Ask replicas for their progress when reads fall back to the primary

A replica that was once behind got no reads, so none of its answers could show that it had caught up: readsAtAReplicaThatHasItsWrites saw only the primary for 40 s.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/GroupExecutor.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/GroupExecutor.java
@@ -70,7 +70,12 @@
                 loop,
                 new UsageMeter(policies.spending().apply(service), environment.wallClock()),
                 policies.queue().apply(service));
-        this.planner = new StartPlanner(context, policies.routing(), environment.random(), environment.wallClock());
+        this.planner = new StartPlanner(
+                context,
+                policies.routing(),
+                environment.random(),
+                environment.wallClock(),
+                new ReplicaRefresher(context, this::askStatus)::refresh);
         this.refresher = new RecordRefresher(
                 environment.records(),
                 placement.group(),
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/StartPlanner.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/StartPlanner.java
@@ -30,13 +30,29 @@
     private final ReadRouting routing;
     private final RandomGenerator random;
     private final InstantSource wallClock;
+    private final Runnable refreshReplicas;
     private final Map<Long, Plan> plans = new HashMap<>();
 
-    StartPlanner(GroupContext state, ReadRouting routing, RandomGenerator random, InstantSource wallClock) {
+    /**
+     * Creates a planner.
+     *
+     * @param state the state of the group
+     * @param routing chooses the endpoints of reads
+     * @param random source of the choices of routing
+     * @param wallClock wall time
+     * @param refreshReplicas asks replicas how far they are
+     */
+    StartPlanner(
+            GroupContext state,
+            ReadRouting routing,
+            RandomGenerator random,
+            InstantSource wallClock,
+            Runnable refreshReplicas) {
         this.state = state;
         this.routing = routing;
         this.random = random;
         this.wallClock = wallClock;
+        this.refreshReplicas = refreshReplicas;
     }
 
     /**
@@ -95,6 +111,11 @@
             route = route(pending, false);
             target = chosen(route);
         }
+        boolean atReplica = target.filter(chosen -> !state.primaryView().isPrimary(chosen.name()))
+                .isPresent();
+        if (!atReplica) {
+            refreshReplicas.run();
+        }
         if (route instanceof Route.Refuse refuse) {
             if (refuse.failure().kind() == ErrorKind.SESSION_WRITE_LOST) {
                 return Optional.of(new Plan(
