--- a/lavenderwick-standins/src/main/java/org/lavenderwick/standins/StandinFleet.java
+++ b/lavenderwick-standins/src/main/java/org/lavenderwick/standins/StandinFleet.java
@@ -45,6 +45,7 @@
     private final Map<FailureDomain, Integer> blocks;
     private final Map<GroupName, GroupEmulator> groups = new LinkedHashMap<>();
     private final Map<EndpointName, EndpointServer> endpoints = new LinkedHashMap<>();
+    private FleetControl control;
 
     private StandinFleet(Configuration template, Options options) {
         this.runtime = StandinRuntime.start();
@@ -52,12 +53,18 @@
         this.platform = PlatformServer.start(
                 runtime, PLATFORM_HOST, options.platformPort(), options.monotonicClock(), options.hostLag());
         Map<GroupName, GroupSettings> started = new LinkedHashMap<>();
-        for (GroupSettings group : template.groups().values()) {
-            started.put(group.name(), startGroup(placed(group), options));
+        try {
+            for (GroupSettings group : template.groups().values()) {
+                started.put(group.name(), startGroup(placed(group), options));
+            }
+        } catch (RuntimeException e) {
+            close();
+            throw e;
         }
         this.configuration = new Configuration(
                 template.version(), template.services(), started, template.plannedStops(), template.sessionKeys());
         started.values().forEach(this::writeFirstRecord);
+        this.control = new FleetControl(this, runtime, PLATFORM_HOST);
     }
 
     /**
@@ -87,6 +94,14 @@
         return configuration;
     }
 
+    /**
+     * Returns IP address and port of the fault controls of the endpoints: {@code GET /endpoints}, {@code POST
+     * /endpoints/{name}/faults} and {@code POST /cut}. The platform has a control port of its own.
+     */
+    public String controlAddress() {
+        return control.address();
+    }
+
     /** Returns the platform. */
     public PlatformServer platform() {
         return platform;
@@ -140,6 +155,9 @@
 
     @Override
     public void close() {
+        if (control != null) {
+            control.close();
+        }
         endpoints.values().forEach(EndpointServer::close);
         groups.values().forEach(GroupEmulator::close);
         platform.close();
@@ -163,7 +181,7 @@
         List<EndpointSettings> started = new ArrayList<>();
         for (EndpointSettings endpoint : group.endpoints()) {
             EndpointServer server = EndpointServer.start(endpoint, emulator, options.endpoints(), runtime);
-            endpoints.put(endpoint.name(), server);
+            checkArgument(endpoints.put(endpoint.name(), server) == null, "two endpoints %s", endpoint.name());
             started.add(withAddress(endpoint, server.address()));
         }
         return new GroupSettings(group.name(), group.service(), started);
