Lengthen the backlog of the peer server

A burst of 100 connects overflowed the default backlog of 50; the dropped ones were tried again by the system after 1 s, past the send timeout of 500 ms, and one call in one of two runs of PeerClientTest failed as not sent.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/peer/PeerServer.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/peer/PeerServer.java
@@ -26,6 +26,9 @@
     /** Largest frame; a whole configuration with 1,100 groups takes less than 1 MB. */
     private static final int MAX_FRAME_BYTES = 8_000_000;
 
+    /** Connections not yet accepted; with the default of 50, a burst of 100 connects met the send timeout of peers. */
+    private static final int BACKLOG = 1_024;
+
     private static final int SELECTOR_THREADS = 2;
     private static final int WORKER_THREADS = 2;
     private static final int STOP_SECONDS = 2;
@@ -42,7 +45,10 @@
 
     /** Starts a server on the address; port 0 takes a free port. */
     public static PeerServer start(InetSocketAddress address, PeerHandler handler) throws TTransportException {
-        TNonblockingServerSocket socket = new TNonblockingServerSocket(address);
+        TNonblockingServerSocket socket =
+                new TNonblockingServerSocket(new TNonblockingServerSocket.NonblockingAbstractServerSocketArgs()
+                        .bindAddr(address)
+                        .backlog(BACKLOG));
         ExecutorService workers = Executors.newFixedThreadPool(WORKER_THREADS, threads("peer-worker-%d"));
         TThreadedSelectorServer.Args args = new TThreadedSelectorServer.Args(socket)
                 .processor(new PeerService.AsyncProcessor<>(new Service(handler)))
