Start waiting work as soon as a connection comes back

The queue was looked at on a 20 ms timer only after completions, which bounded throughput. Also: missing evidence is forgotten once there is some, reads that find endpoints behind pause before they are routed again, open transactions leave two connections of the primary to other work, periodic tasks survive a failed run, and the timeouts of the settings are in force.

--- a/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/caller/CallerServer.java
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/caller/CallerServer.java
@@ -30,6 +30,9 @@
  */
 public final class CallerServer implements AutoCloseable {
     private static final Logger LOG = Logger.getLogger(CallerServer.class);
+    /** Connections not yet accepted; callers of a stopped daemon reconnect all at once. */
+    private static final int BACKLOG = 4_096;
+
     private static final int MAX_THREADS = 64;
     private static final int MIN_THREADS = 4;
     // Above the longest deadline, so that the server never ends a connection that waits for an answer.
@@ -63,6 +66,7 @@
         ServerConnector connector = new ServerConnector(server, 1, 1, new HttpConnectionFactory(http));
         connector.setHost(address.getAddress().getHostAddress());
         connector.setPort(address.getPort());
+        connector.setAcceptQueueSize(BACKLOG);
         connector.setIdleTimeout(IDLE_TIMEOUT.toMillis());
         server.addConnector(connector);
         server.setHandler(new CallerHandler(handler, maxBodyBytes, defaultDeadline));
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/Daemon.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/Daemon.java
@@ -99,15 +99,18 @@
                 CallBudget.of(PLATFORM_BURST, PLATFORM_RATE, threads.clock()));
         this.endpoints = HttpEndpointPort.create(settings.address());
         this.peers = PeerClient.create(InetAddresses.forString(settings.address()), threads.timer());
-        this.peerServer = PeerServer.start(address(settings.peerPort()), new Peers());
+        LatePeerHandler late = new LatePeerHandler();
+        this.peerServer = PeerServer.start(address(settings.peerPort()), late);
         this.control = controlPlane(policies);
         this.receiver = new RelayReceiver(control.groups(), drain, threads.clock(), threads.answers());
+        late.delegateTo(new Peers());
         OwnerRelay relay = new OwnerRelay(
                 self,
                 seats,
                 control.groups(),
                 peers,
                 new PeerHealth(peers, control::question, threads.clock()),
+                settings.timeouts().relay(),
                 threads.clock(),
                 threads.timer());
         RequestRouter router = new RequestRouter(
@@ -210,6 +213,8 @@
                 new ControlContext(self, threads.control(), platform, records, InstantSource.system(), random);
         GroupEnvironment environment = new GroupEnvironment(
                 endpoints,
+                settings.timeouts().endpoint(),
+                settings.timeouts().connect(),
                 records,
                 policies,
                 InstantSource.system(),
@@ -217,7 +222,15 @@
                 new OpenTransactionCount(drain),
                 self.daemon() + "-" + self.incarnation());
         ControlParts parts = new ControlParts(
-                context, settings.failureDomain(), peerAddress(), settings.peers(), peers, configuration, seats, drain);
+                context,
+                settings.failureDomain(),
+                peerAddress(),
+                settings.peers(),
+                peers,
+                settings.timeouts().exchange(),
+                configuration,
+                seats,
+                drain);
         return new ControlPlane(parts, new GroupStarter() {
             @Override
             public GroupEnvironment environment() {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/ControlParts.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/ControlParts.java
@@ -1,5 +1,6 @@
 package org.lavenderwick.daemon.control;
 
+import java.time.Duration;
 import java.util.Collection;
 
 import org.lavenderwick.core.configuration.ConfigurationHolder;
@@ -16,6 +17,7 @@
  * @param peerAddress IP address and port of this daemon's peer service
  * @param seeds peer addresses to begin with
  * @param peers calls peers
+ * @param exchangeTimeout how long an exchange with a peer may take
  * @param configuration the configuration in force
  * @param seats the seat table in force
  * @param drain counts the work in flight
@@ -26,6 +28,7 @@
         String peerAddress,
         Collection<String> seeds,
         PeerClient peers,
+        Duration exchangeTimeout,
         ConfigurationHolder configuration,
         SeatTableHolder seats,
         Drain drain) {}
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/ControlPlane.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/ControlPlane.java
@@ -85,6 +85,7 @@
                 control,
                 PeerExchange.create(parts.peerAddress(), domain, parts.seeds(), context.random()),
                 parts.peers(),
+                parts.exchangeTimeout(),
                 configuration,
                 seats,
                 new ExchangeNews());
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/ExchangeDriver.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/ExchangeDriver.java
@@ -24,14 +24,12 @@
 
 /** Exchanges digests and documents with peers. Confined to the control thread, but for {@link #question}. */
 final class ExchangeDriver {
-    /** Time for an exchange; the largest document takes a few milliseconds on the network. */
-    private static final Duration TIMEOUT = Duration.ofSeconds(2);
-
     private final Self self;
     private final FailureDomain domain;
     private final EventLoop control;
     private final PeerExchange exchange;
     private final PeerClient peers;
+    private final Duration timeout;
     private final ConfigurationHolder configuration;
     private final SeatTableHolder seats;
     private final News news;
@@ -54,6 +52,7 @@
             EventLoop control,
             PeerExchange exchange,
             PeerClient peers,
+            Duration timeout,
             ConfigurationHolder configuration,
             SeatTableHolder seats,
             News news) {
@@ -62,6 +61,7 @@
         this.control = control;
         this.exchange = exchange;
         this.peers = peers;
+        this.timeout = timeout;
         this.configuration = configuration;
         this.seats = seats;
         this.news = news;
@@ -115,8 +115,8 @@
     }
 
     private void round() {
-        contact(exchange.round(digest()));
         control.at(control.now().plus(PeerExchange.ROUND_INTERVAL), this::round);
+        contact(exchange.round(digest()));
     }
 
     private void contact(List<PeerContact> contacts) {
@@ -127,7 +127,7 @@
                 news.add(sent, contact.news());
                 request.setNews(sent);
             }
-            control.deliver(peers.exchange(contact.address(), request, TIMEOUT), answer -> {
+            control.deliver(peers.exchange(contact.address(), request, timeout), answer -> {
                 if (answer.isRight()) {
                     answered(contact, answer.get());
                 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/PaidLevelDriver.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/PaidLevelDriver.java
@@ -45,11 +45,11 @@
         if (closed) {
             return;
         }
+        context.control().at(context.control().now().plus(INTERVAL), this::synchronise);
         boolean inStep = stored.isPresent() && stored.get().equals(executor.paidLevel());
         if (!inStep) {
             context.control().deliver(context.platform().read(key), answer -> answer.forEach(this::merge));
         }
-        context.control().at(context.control().now().plus(INTERVAL), this::synchronise);
     }
 
     private void merge(Optional<VersionedValue> value) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/PlatformWatch.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/PlatformWatch.java
@@ -83,12 +83,10 @@
             }
             failures = 0;
             Optional<VersionedValue> value = answer.get();
-            value.ifPresent(seen -> {
-                revision = seen.revision();
-                listener.accept(seen);
-            });
+            value.ifPresent(seen -> revision = seen.revision());
             // A key that does not exist yet cannot be watched from a revision, so it is read again after a pause.
             again(value.isEmpty() && revision == PlatformPort.ABSENT ? IDLE_LOOK : Duration.ZERO);
+            value.ifPresent(listener);
         });
     }
 
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/PromotionDriver.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/PromotionDriver.java
@@ -104,9 +104,9 @@
 
     private void tick() {
         if (!closed) {
+            context.control().at(context.control().now().plus(TICK), this::tick);
             perform(monitor.tick(context.control().now()));
             leaveStoppingPrimary();
-            context.control().at(context.control().now().plus(TICK), this::tick);
         }
     }
 
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/SeatDriver.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/SeatDriver.java
@@ -99,9 +99,9 @@
     }
 
     private void tick() {
+        control.at(control.now().plus(TICK), this::tick);
         claimMachine.perform(claim.tick(control.now()));
         retirementMachine.perform(retirement.tick(control.now(), holder.table()));
-        control.at(control.now().plus(TICK), this::tick);
     }
 
     private void install(SeatTable table) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/entry/OwnerRelay.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/entry/OwnerRelay.java
@@ -40,9 +40,6 @@
  * </ul>
  */
 public final class OwnerRelay {
-    /** Time after which an owner that owes an answer is checked; most work is answered sooner. */
-    private static final Duration CHECK_AFTER = Duration.ofSeconds(1);
-
     /** Pause before the owners are tried once more, so that a handover of a seat can finish. */
     private static final Duration ROUND_PAUSE = Duration.ofMillis(150);
 
@@ -55,6 +52,7 @@
     private final GroupDirectory groups;
     private final PeerClient peers;
     private final PeerHealth health;
+    private final Duration checkAfter;
     private final MonotonicClock clock;
     private final ScheduledExecutorService timer;
     private final RetryBudget retries = RetryBudget.create(INITIAL_RETRIES);
@@ -67,6 +65,7 @@
      * @param groups the groups that this daemon owns
      * @param peers calls other daemons
      * @param health knows which daemons answer
+     * @param checkAfter time after which an owner that owes an answer is checked
      * @param clock monotonic time
      * @param timer runs pauses
      */
@@ -76,6 +75,7 @@
             GroupDirectory groups,
             PeerClient peers,
             PeerHealth health,
+            Duration checkAfter,
             MonotonicClock clock,
             ScheduledExecutorService timer) {
         this.self = self;
@@ -83,6 +83,7 @@
         this.groups = groups;
         this.peers = peers;
         this.health = health;
+        this.checkAfter = checkAfter;
         this.clock = clock;
         this.timer = timer;
     }
@@ -163,7 +164,7 @@
             RelayRequest request = RelayCodec.request(work, now, tableVersion, fallback);
             peers.execute(owner.address(), request, work.deadline().minus(now))
                     .thenAccept(answer -> settle(owner, attempt, answer));
-            timer.schedule(() -> check(owner, attempt, request, true), CHECK_AFTER.toMillis(), TimeUnit.MILLISECONDS);
+            timer.schedule(() -> check(owner, attempt, request, true), checkAfter.toMillis(), TimeUnit.MILLISECONDS);
         }
 
         /**
@@ -188,7 +189,7 @@
                 }
                 timer.schedule(
                         () -> check(owner, attempt, request, first && !alive),
-                        CHECK_AFTER.toMillis(),
+                        checkAfter.toMillis(),
                         TimeUnit.MILLISECONDS);
             });
         }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/entry/RequestRouter.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/entry/RequestRouter.java
@@ -5,6 +5,7 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 
 import io.vavr.control.Either;
 import org.lavenderwick.adapters.caller.CallerAnswer;
@@ -36,6 +37,12 @@
  * the work to an owner. Thread-safe.
  */
 public final class RequestRouter implements RequestHandler {
+    /** Time past the deadline after which a request counts as lost inside the proxy. */
+    private static final Duration GRACE = Duration.ofSeconds(5);
+
+    private static final Either<WorkFailure, Relayed> NO_OUTCOME =
+            Either.left(WorkFailure.of(ErrorKind.INTERNAL_ERROR, "The proxy has no outcome long after the deadline."));
+
     private final ConfigurationHolder configuration;
     private final Sessions sessions;
     private final OwnerRelay relay;
@@ -102,7 +109,9 @@
     }
 
     private CompletableFuture<Either<CallerRefusal, CallerAnswer>> run(Checked checked, SessionTokenCodec codec) {
+        Duration bound = checked.work.deadline().minus(clock.now()).plus(GRACE);
         return relay.run(checked.work, checked.choice)
+                .completeOnTimeout(NO_OUTCOME, Math.max(1, bound.toMillis()), TimeUnit.MILLISECONDS)
                 .thenApplyAsync(
                         outcome -> outcome.bimap(
                                 failure -> refusal(checked, failure, codec), answer -> answer(checked, answer, codec)),
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/CallTimeouts.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/CallTimeouts.java
@@ -9,13 +9,20 @@
     /** For work that can be sent again: soon enough that another connection or endpoint can still serve it. */
     private static final Duration REPEATABLE = Duration.ofSeconds(1);
 
-    /** For work that cannot: a missing answer means an unknown outcome, so slow answers are waited for. */
-    private static final Duration ONCE = Duration.ofSeconds(5);
-
     private CallTimeouts() {}
 
-    static Duration of(Work work, Duration now) {
+    /**
+     * Returns the timeout of a call for the work.
+     *
+     * @param work the work
+     * @param now monotonic time
+     * @param longest for work that cannot be sent again: a missing answer is an unknown outcome, so slow ones are
+     *     waited for
+     */
+    static Duration of(Work work, Duration now, Duration longest) {
         Duration remaining = work.deadline().minus(now);
-        return Comparators.max(Duration.ofMillis(1), Comparators.min(remaining, work.repeatable() ? REPEATABLE : ONCE));
+        return Comparators.max(
+                Duration.ofMillis(1),
+                Comparators.min(remaining, work.repeatable() ? Comparators.min(REPEATABLE, longest) : longest));
     }
 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/EndpointLink.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/EndpointLink.java
@@ -33,9 +33,6 @@
  * loop of the group.
  */
 final class EndpointLink {
-    /** Time to open a connection; an open takes about 12 ms. */
-    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
-
     /** Time for the check of an idle connection, a round trip without work. */
     private static final Duration CHECK_TIMEOUT = Duration.ofMillis(300);
 
@@ -46,6 +43,7 @@
 
     private final EndpointSettings settings;
     private final EndpointPort port;
+    private final Duration connectTimeout;
     private final ConnectionPoolState pool;
     private final EventLoop loop;
     private final InstantSource wallClock;
@@ -62,12 +60,14 @@
     EndpointLink(
             EndpointSettings settings,
             EndpointPort port,
+            Duration connectTimeout,
             ConnectionPoolState pool,
             EventLoop loop,
             InstantSource wallClock,
             LinkEvents events) {
         this.settings = settings;
         this.port = port;
+        this.connectTimeout = connectTimeout;
         this.pool = pool;
         this.loop = loop;
         this.wallClock = wallClock;
@@ -107,7 +107,7 @@
 
     /** Returns whether one more request may wait for a new connection: one opens at a time. */
     boolean mayOpenForTraffic() {
-        return waiters.get(Purpose.TRAFFIC).isEmpty() && pool.open() < pool.share() && !closed;
+        return waiters.get(Purpose.TRAFFIC).isEmpty() && trafficConnections() < pool.trafficShare() && !closed;
     }
 
     /** Gives a traffic connection to the consumer, or a failure if none can be had; nothing was sent then. */
@@ -128,6 +128,7 @@
             closeConnection(id);
         }
         serveWaiters();
+        events.connectionFreed();
     }
 
     /** Makes a control call and hands its status to the consumer and to the events. */
@@ -238,7 +239,7 @@
             trafficIds.add(open.connection());
         }
         events.connectionsChanged();
-        loop.deliver(port.connect(settings, CONNECT_TIMEOUT), answer -> {
+        loop.deliver(port.connect(settings, connectTimeout), answer -> {
             if (answer.isRight()) {
                 opened(open.connection(), answer.get());
             } else {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/EvidenceKeeper.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/EvidenceKeeper.java
@@ -112,6 +112,9 @@
 
     private void wake() {
         Duration now = loop.now();
+        if (missingSince != null && evidence.mayAcknowledge(missingTerm, now)) {
+            missingSince = null;
+        }
         List<Waiter> done = waiters.stream()
                 .filter(waiter -> waiter.until.compareTo(now) <= 0 || evidence.mayAcknowledge(waiter.term, now))
                 .toList();
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/GroupContext.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/GroupContext.java
@@ -1,5 +1,6 @@
 package org.lavenderwick.daemon.group;
 
+import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -13,16 +14,23 @@
 final class GroupContext {
     private final EventLoop loop;
     private final UsageMeter usage;
+    private final Duration callTimeout;
     private final PrimaryView primaryView = new PrimaryView();
     private final Map<EndpointName, Target> targets = new LinkedHashMap<>();
     private final Map<Long, Pending> pending = new HashMap<>();
     private AdmissionQueue queue;
     private EvidenceKeeper evidence;
 
-    GroupContext(EventLoop loop, UsageMeter usage, AdmissionQueue queue) {
+    GroupContext(EventLoop loop, UsageMeter usage, AdmissionQueue queue, Duration callTimeout) {
         this.loop = loop;
         this.usage = usage;
         this.queue = queue;
+        this.callTimeout = callTimeout;
+    }
+
+    /** Returns how long a call that cannot be repeated may take. */
+    Duration callTimeout() {
+        return callTimeout;
     }
 
     EventLoop loop() {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/GroupEnvironment.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/GroupEnvironment.java
@@ -1,5 +1,6 @@
 package org.lavenderwick.daemon.group;
 
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.random.RandomGenerator;
 
@@ -9,6 +10,8 @@
  * What the executors of all groups share.
  *
  * @param endpoints opens connections to endpoints
+ * @param callTimeout how long a call to an endpoint that cannot be repeated may take
+ * @param connectTimeout how long it may take to open a connection
  * @param records the group records on the platform
  * @param policies the policies
  * @param wallClock wall time
@@ -18,6 +21,8 @@
  */
 public record GroupEnvironment(
         EndpointPort endpoints,
+        Duration callTimeout,
+        Duration connectTimeout,
         GroupRecords records,
         Policies policies,
         InstantSource wallClock,
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/GroupExecutor.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/GroupExecutor.java
@@ -1,15 +1,13 @@
 package org.lavenderwick.daemon.group;
 
 import java.time.Duration;
-import java.time.Instant;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 
 import io.vavr.control.Either;
+import org.jboss.logging.Logger;
 import org.lavenderwick.adapters.endpoint.EndpointConnection;
 import org.lavenderwick.adapters.endpoint.EndpointStatus;
 import org.lavenderwick.adapters.endpoint.TransactionStep;
@@ -18,11 +16,8 @@
 import org.lavenderwick.core.admission.RetryBudget;
 import org.lavenderwick.core.admission.WorkItem;
 import org.lavenderwick.core.billing.PaidLevel;
-import org.lavenderwick.core.configuration.EndpointSettings;
-import org.lavenderwick.core.configuration.GroupSettings;
 import org.lavenderwick.core.configuration.RankSettings;
 import org.lavenderwick.core.configuration.ServiceSettings;
-import org.lavenderwick.core.connections.ConnectionPoolState;
 import org.lavenderwick.core.error.ErrorKind;
 import org.lavenderwick.core.error.Failure;
 import org.lavenderwick.core.model.EndpointName;
@@ -44,6 +39,8 @@
 
     private static final Duration UPKEEP_INTERVAL = Duration.ofSeconds(1);
 
+    private static final Logger LOG = Logger.getLogger(GroupExecutor.class);
+
     private final GroupEnvironment environment;
     private final EventLoop loop;
     private final GroupObserver observer;
@@ -53,9 +50,11 @@
     private final TransactionRunner transactions;
     private final RetryBudget retries = RetryBudget.create(INITIAL_RETRIES);
     private final RecordRefresher refresher;
+    private final TargetSet targets;
     private GroupPlacement placement;
     private long nextItem = 1;
     private boolean lookPlanned;
+    private boolean lookDue;
     private boolean closed;
 
     private GroupExecutor(
@@ -69,13 +68,16 @@
         this.context = new GroupContext(
                 loop,
                 new UsageMeter(policies.spending().apply(service), environment.wallClock()),
-                policies.queue().apply(service));
+                policies.queue().apply(service),
+                environment.callTimeout());
+        this.targets = new TargetSet(environment, context, new Events());
         this.planner = new StartPlanner(
                 context,
                 policies.routing(),
                 environment.random(),
                 environment.wallClock(),
-                new ReplicaRefresher(context, this::askStatus)::refresh);
+                new ReplicaRefresher(context, targets::askStatus)::refresh,
+                () -> openTransactions());
         this.refresher = new RecordRefresher(
                 environment.records(),
                 placement.group(),
@@ -102,7 +104,14 @@
     @Override
     public CompletableFuture<Either<WorkFailure, WorkAnswer>> run(Work work) {
         Pending pending = new Pending(work);
-        loop.execute(() -> accept(pending));
+        loop.execute(() -> {
+            try {
+                accept(pending);
+            } catch (RuntimeException e) {
+                LOG.errorf(e, "[group] A request could not be accepted.");
+                pending.fail(WorkFailure.of(ErrorKind.INTERNAL_ERROR, "The owner failed."));
+            }
+        });
         return pending.result();
     }
 
@@ -179,6 +188,10 @@
         return done;
     }
 
+    private int openTransactions() {
+        return transactions.openCount();
+    }
+
     private void accept(Pending pending) {
         Work work = pending.work();
         if (closed) {
@@ -293,6 +306,7 @@
         if (changed || status.promisedTerm().isAfter(context.primaryView().term())) {
             refresher.refresh();
         }
+        lookSoon();
     }
 
     private void replaceQueue(ServiceSettings service) {
@@ -310,69 +324,34 @@
     }
 
     private void applyEndpoints(GroupPlacement former) {
-        Set<EndpointName> gone = new HashSet<>();
-        context.targets().forEach(target -> {
-            Optional<EndpointSettings> settings = placement.group().endpoint(target.name());
-            if (settings.isEmpty() || !settings.get().equals(target.link().settings())) {
-                gone.add(target.name());
-            }
-        });
-        gone.forEach(name -> {
-            context.target(name).ifPresent(target -> target.link().close());
-            context.removeTarget(name);
-        });
-        for (EndpointSettings endpoint : placement.group().endpoints()) {
-            int share = placement.share(endpoint);
-            context.target(endpoint.name())
-                    .ifPresentOrElse(target -> target.resize(share), () -> context.addTarget(target(endpoint, share)));
-        }
-        boolean sameNames = names(former.group()).equals(names(placement.group()));
-        if (context.evidence() == null || !sameNames) {
+        targets.apply(placement);
+        List<EndpointName> names = TargetSet.names(placement.group());
+        if (context.evidence() == null || !names.equals(TargetSet.names(former.group()))) {
             context.evidence(new EvidenceKeeper(
-                    TermEvidence.create(names(placement.group()), PromotionTimings.DEFAULT),
+                    TermEvidence.create(names, PromotionTimings.DEFAULT),
                     loop,
-                    this::askStatus,
+                    targets::askStatus,
                     refresher::refresh));
         }
-        markLeaving();
-    }
-
-    private Target target(EndpointSettings endpoint, int share) {
-        ConnectionPoolState pool =
-                ConnectionPoolState.create(environment.policies().sizing(), share, environment.random());
-        EndpointLink link =
-                new EndpointLink(endpoint, environment.endpoints(), pool, loop, environment.wallClock(), new Events());
-        return new Target(
-                link, environment.policies().limit().apply(endpoint.slots(), Math.max(1, pool.trafficShare())), loop);
-    }
-
-    private void askStatus(EndpointName endpoint) {
-        context.target(endpoint)
-                .ifPresent(target -> target.link()
-                        .control(
-                                connection -> connection.status(PromotionTimings.DEFAULT.endpointTimeout()),
-                                answer -> {}));
     }
 
     private void upkeep() {
         if (!closed) {
-            markLeaving();
-            context.targets().forEach(target -> {
-                target.link().shrink();
-                target.link().replenish();
-            });
-            look();
             loop.at(loop.now().plus(UPKEEP_INTERVAL), this::upkeep);
+            targets.upkeep(placement);
+            look();
         }
     }
 
-    private void markLeaving() {
-        Instant now = environment.wallClock().instant();
-        context.targets().forEach(target -> target.leaving(placement.leaving(target.name(), now)));
-    }
-
-    private static List<EndpointName> names(GroupSettings group) {
-        return group.endpoints().stream().map(EndpointSettings::name).toList();
+    /** Looks at the queue after the present task, once for any number of calls. */
+    private void lookSoon() {
+        if (!lookDue && context.queue().size() > 0) {
+            lookDue = true;
+            loop.execute(() -> {
+                lookDue = false;
+                look();
+            });
+        }
     }
 
     private final class Events implements LinkEvents {
@@ -381,6 +360,11 @@
             GroupExecutor.this.statusSeen(status, askedAt);
         }
 
+        @Override
+        public void connectionFreed() {
+            lookSoon();
+        }
+
         @Override
         public void connectionsChanged() {
             context.usage().connections(context.openConnections());
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/LinkEvents.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/LinkEvents.java
@@ -9,6 +9,9 @@
     /** An answer carried the status of the endpoint; the question was sent at the given monotonic time. */
     void statusSeen(EndpointStatus status, Duration askedAt);
 
+    /** A connection came back from use or can be opened again. */
+    void connectionFreed();
+
     /** The number of open connections may have changed. */
     void connectionsChanged();
 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/SingleRunner.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/SingleRunner.java
@@ -27,6 +27,9 @@
     /** Endpoints that may turn out not to be fresh enough before the read goes to the primary. */
     private static final int MAX_BEHIND = 2;
 
+    /** Pause before a read for which an endpoint was not fresh enough is routed again. */
+    private static final Duration BEHIND_PAUSE = Duration.ofMillis(5);
+
     private final GroupContext context;
     private final RetryBudget retries;
     private final Consumer<Pending> requeue;
@@ -96,7 +99,10 @@
                 work.idempotencyKey());
         context.loop()
                 .deliver(
-                        attempt.target.link().connection(connection).execute(request, CallTimeouts.of(work, sentAt)),
+                        attempt.target
+                                .link()
+                                .connection(connection)
+                                .execute(request, CallTimeouts.of(work, sentAt, context.callTimeout())),
                         answer -> answered(attempt, connection, sentAt, answer));
     }
 
@@ -164,7 +170,7 @@
 
     private void refusedByPrimary(Attempt attempt) {
         Duration now = context.loop().now();
-        context.primaryView().hold(context.primaryView().term(), now.plus(HOLD));
+        attempt.term.ifPresent(term -> context.primaryView().hold(term, now.plus(HOLD)));
         attempt.pending.obstacle(
                 Failure.of(ErrorKind.NO_PRIMARY, "The primary of the database group is being replaced."));
         refreshRecord.run();
@@ -186,7 +192,8 @@
                     item.deadline()));
         }
         pending.obstacle(Failure.of(ErrorKind.NO_ELIGIBLE_ENDPOINT, "No endpoint is fresh enough."));
-        requeue.accept(pending);
+        // Endpoints catch up in their own time, so they are not asked again at once.
+        context.loop().at(context.loop().now().plus(BEHIND_PAUSE), () -> requeue.accept(pending));
     }
 
     private void done(Attempt attempt, EndpointReply reply) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/StartPlanner.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/StartPlanner.java
@@ -6,8 +6,10 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 
+import org.lavenderwick.adapters.endpoint.TransactionStep;
 import org.lavenderwick.core.admission.Access;
 import org.lavenderwick.core.admission.AdmissionQueue;
 import org.lavenderwick.core.admission.StartRule;
@@ -26,11 +28,15 @@
     /** Stands for a wait without end, as when no connection to the endpoint exists. */
     private static final Duration ENDLESS = Duration.ofDays(1);
 
+    /** Connections to the primary that no open transaction may hold. */
+    private static final int KEPT_CONNECTIONS = 2;
+
     private final GroupContext state;
     private final ReadRouting routing;
     private final RandomGenerator random;
     private final InstantSource wallClock;
     private final Runnable refreshReplicas;
+    private final IntSupplier openTransactions;
     private final Map<Long, Plan> plans = new HashMap<>();
 
     /**
@@ -41,18 +47,21 @@
      * @param random source of the choices of routing
      * @param wallClock wall time
      * @param refreshReplicas asks replicas how far they are
+     * @param openTransactions number of open transactions
      */
     StartPlanner(
             GroupContext state,
             ReadRouting routing,
             RandomGenerator random,
             InstantSource wallClock,
-            Runnable refreshReplicas) {
+            Runnable refreshReplicas,
+            IntSupplier openTransactions) {
         this.state = state;
         this.routing = routing;
         this.random = random;
         this.wallClock = wallClock;
         this.refreshReplicas = refreshReplicas;
+        this.openTransactions = openTransactions;
     }
 
     /**
@@ -95,15 +104,25 @@
             state.evidence().ask(view.term());
             return Optional.empty();
         }
-        pending.noObstacle();
-        Demand demand = demand(item, primary.get());
         Target target = primary.get();
+        boolean begin = pending.work().step() == TransactionStep.BEGIN;
+        if (begin && openTransactions.getAsInt() >= maxTransactions(target)) {
+            pending.obstacle(Failure.of(ErrorKind.QUEUE_FULL, "Too many transactions are open."));
+            return Optional.empty();
+        }
+        pending.noObstacle();
+        Demand demand = demand(item, target);
         boolean room = target.hasRoom(false) || (target.hasRoom(true) && mayOpen(target, demand));
         return room && state.usage().mayStart(demand)
                 ? Optional.of(new Plan(primary, Optional.empty(), demand))
                 : Optional.empty();
     }
 
+    /** Open transactions hold connections, so some are kept for other work. */
+    private static int maxTransactions(Target target) {
+        return Math.max(1, target.link().pool().trafficShare() - KEPT_CONNECTIONS);
+    }
+
     private Optional<Plan> planRead(Pending pending, WorkItem item) {
         Route route = route(pending, true);
         Optional<Target> target = chosen(route);
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/Target.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/Target.java
@@ -112,7 +112,7 @@
                 link.lastStatus().map(EndpointStatus::pointTime).orElse(Instant.EPOCH),
                 link.lastStatus().isPresent() ? link.observed() : now,
                 latency.value(),
-                outstanding,
+                room ? outstanding : Math.max(1, outstanding),
                 room ? limit.limit() : Math.max(1, outstanding),
                 leaving,
                 link.reachable());
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/TransactionRunner.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/TransactionRunner.java
@@ -152,7 +152,7 @@
                 .deliver(
                         target.link()
                                 .connection(transaction.connection())
-                                .execute(request, CallTimeouts.of(work, sentAt)),
+                                .execute(request, CallTimeouts.of(work, sentAt, context.callTimeout())),
                         answer -> {
                             if (answer.isRight()) {
                                 target.answered(sentAt);
