Let isolated owners refuse early; test cuts between daemons and domains

An owner that finds no term evidence for 1 s and reaches fewer than a majority of the endpoints refuses with TERM_UNCONFIRMED, so that the entry daemon tries the next owner within the deadline. Before, the work waited there to its end. Daemons can advertise another peer address, through which tests cut links.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/Daemon.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/Daemon.java
@@ -47,7 +47,6 @@
 import org.lavenderwick.daemon.group.GroupEnvironment;
 import org.lavenderwick.daemon.group.GroupRecords;
 import org.lavenderwick.daemon.group.GroupReport;
-import org.lavenderwick.daemon.group.Policies;
 import org.lavenderwick.daemon.peer.PeerClient;
 import org.lavenderwick.daemon.peer.PeerHandler;
 import org.lavenderwick.daemon.peer.PeerHealth;
@@ -71,6 +70,7 @@
     private static final Logger LOG = Logger.getLogger(Daemon.class);
 
     private final DaemonSettings settings;
+    private final DaemonOptions options;
     private final Self self;
     private final DaemonThreads threads;
     private final ConfigurationHolder configuration = ConfigurationHolder.create();
@@ -87,7 +87,8 @@
     private final OperatorServer operators;
     private final AtomicReference<CompletableFuture<DrainState>> draining = new AtomicReference<>();
 
-    private Daemon(DaemonSettings settings, Policies policies) throws Exception {
+    private Daemon(DaemonSettings settings, DaemonOptions options) throws Exception {
+        this.options = options;
         this.settings = settings;
         this.self = new Self(settings.daemon(), System.currentTimeMillis());
         this.threads = DaemonThreads.start(settings.trafficThreads());
@@ -101,7 +102,7 @@
         this.peers = PeerClient.create(InetAddresses.forString(settings.address()), threads.timer());
         LatePeerHandler late = new LatePeerHandler();
         this.peerServer = PeerServer.start(address(settings.peerPort()), late);
-        this.control = controlPlane(policies);
+        this.control = controlPlane();
         this.receiver = new RelayReceiver(control.groups(), drain, threads.clock(), threads.answers());
         late.delegateTo(new Peers());
         OwnerRelay relay = new OwnerRelay(
@@ -126,12 +127,12 @@
 
     /** Starts a daemon with the policies of the fleet. */
     public static Daemon start(DaemonSettings settings) throws Exception {
-        return start(settings, Policies.standard());
+        return start(settings, DaemonOptions.standard());
     }
 
-    /** Starts a daemon with the given policies. */
-    public static Daemon start(DaemonSettings settings, Policies policies) throws Exception {
-        Daemon daemon = new Daemon(settings, policies);
+    /** Starts a daemon with the given options. */
+    public static Daemon start(DaemonSettings settings, DaemonOptions options) throws Exception {
+        Daemon daemon = new Daemon(settings, options);
         daemon.control.start();
         LOG.infof(
                 "[daemon] %s listens on %s: callers %d, operators %d, peers %d.",
@@ -139,6 +140,11 @@
         return daemon;
     }
 
+    /** Returns the IP address on which the daemon listens. */
+    public String address() {
+        return settings.address();
+    }
+
     /** Returns the port for callers. */
     public int callerPort() {
         return callers.port();
@@ -154,9 +160,9 @@
         return peerServer.port();
     }
 
-    /** Returns IP address and port for other daemons. */
+    /** Returns IP address and port at which other daemons reach this one. */
     public String peerAddress() {
-        return Addresses.join(settings.address(), peerPort());
+        return options.advertisedPeerAddress().orElseGet(() -> Addresses.join(settings.address(), peerPort()));
     }
 
     /** Returns whether the daemon serves callers. */
@@ -205,7 +211,7 @@
         platform.close();
     }
 
-    private ControlPlane controlPlane(Policies policies) {
+    private ControlPlane controlPlane() {
         GroupRecords records = GroupRecords.on(platform);
         // Each thread that asks uses its own generator.
         RandomGenerator random = () -> ThreadLocalRandom.current().nextLong();
@@ -216,7 +222,7 @@
                 settings.timeouts().endpoint(),
                 settings.timeouts().connect(),
                 records,
-                policies,
+                options.policies(),
                 InstantSource.system(),
                 random,
                 new OpenTransactionCount(drain),
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/entry/OwnerRelay.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/entry/OwnerRelay.java
@@ -43,6 +43,10 @@
     /** Pause before the owners are tried once more, so that a handover of a seat can finish. */
     private static final Duration ROUND_PAUSE = Duration.ofMillis(150);
 
+    /** Answers of an owner that did not run the work, while another owner may be able to. */
+    private static final Set<ErrorKind> NOT_TAKEN = Set.of(
+            ErrorKind.OWNER_UNREACHABLE, ErrorKind.DRAINING, ErrorKind.NOT_CONFIGURED, ErrorKind.TERM_UNCONFIRMED);
+
     private static final int ROUNDS = 3;
     private static final int INITIAL_RETRIES = 10;
     private static final Logger LOG = Logger.getLogger(OwnerRelay.class);
@@ -110,6 +114,7 @@
         private final OwnerChoice choice;
         private final CompletableFuture<Either<WorkFailure, Relayed>> result = new CompletableFuture<>();
         private final Set<String> tried = new HashSet<>();
+        private Optional<Failure> refusal = Optional.empty();
         private boolean mayHaveRun;
         private int round = 1;
         private int attempts;
@@ -122,7 +127,8 @@
         synchronized void next() {
             Duration now = clock.now();
             if (now.compareTo(work.deadline()) >= 0) {
-                fail(Failure.of(ErrorKind.DEADLINE_UNREACHABLE, "The deadline passed before an owner took the work."));
+                fail(refusal.orElse(Failure.of(
+                        ErrorKind.DEADLINE_UNREACHABLE, "The deadline passed before an owner took the work.")));
                 return;
             }
             Owners owners = seats.owners();
@@ -144,7 +150,9 @@
                 tried.clear();
                 timer.schedule(this::next, ROUND_PAUSE.toMillis(), TimeUnit.MILLISECONDS);
             } else {
-                fail(Failure.of(ErrorKind.OWNER_UNREACHABLE, "No owner of the database group can be reached."));
+                fail(refusal.filter(last -> last.kind() == ErrorKind.TERM_UNCONFIRMED)
+                        .orElse(Failure.of(
+                                ErrorKind.OWNER_UNREACHABLE, "No owner of the database group can be reached.")));
             }
         }
 
@@ -217,10 +225,8 @@
                 return;
             }
             ErrorKind kind = outcome.getLeft().failure().kind();
-            boolean notTaken = kind == ErrorKind.OWNER_UNREACHABLE
-                    || kind == ErrorKind.DRAINING
-                    || kind == ErrorKind.NOT_CONFIGURED;
-            if (notTaken) {
+            if (NOT_TAKEN.contains(kind)) {
+                refusal = Optional.of(outcome.getLeft().failure());
                 next();
             } else if (mayHaveRun && kind.execution() == Execution.NOT_RUN) {
                 fail(outcome.getLeft().failure());
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/EvidenceKeeper.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/EvidenceKeeper.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 
 import org.lavenderwick.adapters.endpoint.EndpointStatus;
@@ -21,6 +23,12 @@
     /** Time without evidence after which no more writes are sent until there is some; many round trips. */
     private static final Duration HOPE = Duration.ofMillis(300);
 
+    /** Time without evidence after which work is refused if the owner cannot reach a majority of the endpoints. */
+    private static final Duration ISOLATION = Duration.ofSeconds(1);
+
+    /** Time without work after which the search for evidence begins anew. */
+    private static final Duration IDLE = Duration.ofSeconds(2);
+
     /** Pause between two looks for due questions while work waits. */
     private static final Duration ASK_INTERVAL = Duration.ofMillis(50);
 
@@ -28,8 +36,11 @@
     private final EventLoop loop;
     private final Consumer<EndpointName> askEndpoint;
     private final Runnable askPlatform;
+    private final int majority;
+    private final Set<EndpointName> answered = new HashSet<>();
     private final List<Waiter> waiters = new ArrayList<>();
     private Duration missingSince;
+    private Duration lastLook;
     private Term missingTerm = Term.NONE;
     private boolean timerRuns;
 
@@ -37,12 +48,19 @@
      * Creates a keeper.
      *
      * @param evidence the evidence of the group
+     * @param majority number of endpoints that make a majority
      * @param loop event loop of the group
      * @param askEndpoint asks an endpoint for its status, which comes back through {@link #statusSeen}
      * @param askPlatform reads the group record, which comes back through {@link #recordSeen}
      */
-    EvidenceKeeper(TermEvidence evidence, EventLoop loop, Consumer<EndpointName> askEndpoint, Runnable askPlatform) {
+    EvidenceKeeper(
+            TermEvidence evidence,
+            int majority,
+            EventLoop loop,
+            Consumer<EndpointName> askEndpoint,
+            Runnable askPlatform) {
         this.evidence = evidence;
+        this.majority = majority;
         this.loop = loop;
         this.askEndpoint = askEndpoint;
         this.askPlatform = askPlatform;
@@ -55,13 +73,26 @@
             missingSince = null;
             return true;
         }
-        if (missingSince == null || !missingTerm.equals(term)) {
+        boolean idle = lastLook == null || now.minus(lastLook).compareTo(IDLE) > 0;
+        lastLook = now;
+        if (missingSince == null || idle || !missingTerm.equals(term)) {
             missingSince = now;
             missingTerm = term;
+            answered.clear();
         }
         return now.minus(missingSince).compareTo(HOPE) < 0;
     }
 
+    /**
+     * Returns whether no evidence can be had here: the search goes on for a while already, and fewer than a majority of
+     * the endpoints have answered since. Another owner may be better placed. To be asked after {@link #hopeful}.
+     */
+    boolean isolated() {
+        return missingSince != null
+                && loop.now().minus(missingSince).compareTo(ISOLATION) >= 0
+                && answered.size() < majority;
+    }
+
     /** Sends the questions that are due so that work of the term can be acknowledged. */
     void ask(Term term) {
         EvidenceQuestions questions = evidence.questionsDue(term, loop.now());
@@ -89,6 +120,7 @@
     }
 
     void statusSeen(EndpointStatus status, Duration askedAt) {
+        answered.add(status.endpoint());
         evidence.recordVote(status.endpoint(), status.promisedTerm(), askedAt);
         wake();
     }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/GroupExecutor.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/GroupExecutor.java
@@ -261,7 +261,9 @@
             return;
         }
         if (plan.refusal().isPresent()) {
-            pending.get().fail(new WorkFailure(plan.refusal().get(), Optional.of(newestPoint())));
+            boolean lost = plan.refusal().get().kind() == ErrorKind.SESSION_WRITE_LOST;
+            pending.get()
+                    .fail(new WorkFailure(plan.refusal().get(), lost ? Optional.of(newestPoint()) : Optional.empty()));
             return;
         }
         context.usage().started(plan.demand());
@@ -329,6 +331,7 @@
         if (context.evidence() == null || !names.equals(TargetSet.names(former.group()))) {
             context.evidence(new EvidenceKeeper(
                     TermEvidence.create(names, PromotionTimings.DEFAULT),
+                    placement.group().majority(),
                     loop,
                     targets::askStatus,
                     refresher::refresh));
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/StartPlanner.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/StartPlanner.java
@@ -90,6 +90,14 @@
 
     private Optional<Plan> planPrimary(Pending pending, WorkItem item) {
         PrimaryView view = state.primaryView();
+        boolean needsEvidence = pending.work().write() || pending.work().currentRead();
+        if (needsEvidence && !state.evidence().hopeful(view.term())) {
+            Failure unconfirmed = Failure.of(
+                    ErrorKind.TERM_UNCONFIRMED, "It cannot be shown that term " + view.term() + " is current.");
+            state.evidence().ask(view.term());
+            pending.obstacle(unconfirmed);
+            return state.evidence().isolated() ? Optional.of(refusal(item, unconfirmed)) : Optional.empty();
+        }
         Optional<Target> primary = view.primary().flatMap(state::target);
         if (primary.isEmpty()
                 || !view.usable(state.loop().now())
@@ -97,13 +105,6 @@
             pending.obstacle(Failure.of(ErrorKind.NO_PRIMARY, "The database group has no reachable primary."));
             return Optional.empty();
         }
-        boolean needsEvidence = pending.work().write() || pending.work().currentRead();
-        if (needsEvidence && !state.evidence().hopeful(view.term())) {
-            pending.obstacle(Failure.of(
-                    ErrorKind.TERM_UNCONFIRMED, "It cannot be shown that term " + view.term() + " is current."));
-            state.evidence().ask(view.term());
-            return Optional.empty();
-        }
         Target target = primary.get();
         boolean begin = pending.work().step() == TransactionStep.BEGIN;
         if (begin && openTransactions.getAsInt() >= maxTransactions(target)) {
@@ -137,8 +138,7 @@
         }
         if (route instanceof Route.Refuse refuse) {
             if (refuse.failure().kind() == ErrorKind.SESSION_WRITE_LOST) {
-                return Optional.of(new Plan(
-                        Optional.empty(), Optional.of(refuse.failure()), demand(item, Duration.ZERO, Duration.ZERO)));
+                return Optional.of(refusal(item, refuse.failure()));
             }
             pending.obstacle(refuse.failure());
             return Optional.empty();
@@ -153,6 +153,10 @@
                 : Optional.empty();
     }
 
+    private Plan refusal(WorkItem item, Failure failure) {
+        return new Plan(Optional.empty(), Optional.of(failure), demand(item, Duration.ZERO, Duration.ZERO));
+    }
+
     private Optional<Target> chosen(Route route) {
         return route instanceof Route.To to ? state.target(to.endpoint()) : Optional.empty();
     }
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/FaultTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/FaultTest.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -11,7 +12,9 @@
 import org.junit.jupiter.api.Test;
 import org.lavenderwick.core.drain.DrainState;
 import org.lavenderwick.core.model.EndpointName;
+import org.lavenderwick.core.model.FailureDomain;
 import org.lavenderwick.standins.HistoryEvent;
+import org.lavenderwick.standins.LinkRule;
 import org.lavenderwick.standins.PlatformFaults;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -108,4 +111,65 @@
             assertThat(answer.status()).as(answer.toString()).isEqualTo(200);
         }
     }
+
+    @Test
+    void whenOpenConnectionsToTheLeadGoSilentNewOnesServe() {
+        Daemon entry = cluster.others().get(0);
+        Daemon lead = cluster.lead();
+        assertThat(write(entry, "warm").status()).isEqualTo(200);
+        for (int block = 1; block <= 3; block++) {
+            cluster.relay(lead).silenceOpenConnections(block);
+        }
+        TestCluster.Answer read = cluster.post(entry, TestCluster.STATEMENTS, TestCluster.get("warm"));
+        assertThat(read.status()).as(read.toString()).isEqualTo(200);
+        assertThat(read.result(0).path("value").asText()).isEqualTo("v");
+        assertThat(write(entry, "after").status()).isEqualTo(200);
+    }
+
+    @Test
+    void whenTheLeadIsCutOffFromOtherDaemonsTheNextOwnerServes() throws Exception {
+        Daemon entry = cluster.others().get(0);
+        Daemon lead = cluster.lead();
+        assertThat(write(entry, "warm").status()).isEqualTo(200);
+        for (int block = 1; block <= 3; block++) {
+            cluster.relay(lead).rule(block, LinkRule.SILENT);
+        }
+        TestCluster.Answer read = cluster.post(entry, TestCluster.STATEMENTS, TestCluster.get("warm"));
+        assertThat(read.status()).as(read.toString()).isEqualTo(200);
+        cluster.await("write at the next owner", () -> write(entry, "after"), answer -> answer.status() == 200);
+    }
+
+    @Test
+    void whenTheFailureDomainOfThePrimaryIsCutOffTheOthersGoOnAndNoWriteIsLost() throws Exception {
+        Daemon outside = cluster.daemons().get(1);
+        assertThat(write(outside, "before").status()).isEqualTo(200);
+        cluster.await(
+                "replication", () -> cluster.group().value(EndpointName.of("ledger-2"), "before"), Optional::isPresent);
+        cluster.fleet().cutOff(Set.of(FailureDomain.of("domain-1")));
+        List<String> acknowledged = new ArrayList<>();
+        TestCluster.Answer last = null;
+        for (int i = 0; i < 40 && (last == null || !newTerm(last)); i++) {
+            String key = "cut-" + i;
+            last = write(cluster.daemons().get(1 + i % 2), key);
+            if (newTerm(last)) {
+                acknowledged.add(key);
+            }
+        }
+        assertThat(last).isNotNull();
+        assertThat(newTerm(last)).as("a write at a new primary").isTrue();
+        for (int i = 0; i < 10; i++) {
+            TestCluster.Answer answer = write(cluster.daemons().get(1 + i % 2), "later-" + i);
+            assertThat(answer.status()).as(answer.toString()).isEqualTo(200);
+            acknowledged.add("later-" + i);
+        }
+        EndpointName primary = EndpointName.of(last.body().path("endpoint").asText());
+        assertThat(acknowledged)
+                .allSatisfy(
+                        key -> assertThat(cluster.group().value(primary, key)).isPresent());
+    }
+
+    private static boolean newTerm(TestCluster.Answer answer) {
+        return answer.status() == 200
+                && !answer.body().path("endpoint").asText().equals("ledger-1");
+    }
 }
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/TestCluster.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/TestCluster.java
@@ -1,6 +1,8 @@
 package org.lavenderwick.daemon;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -9,6 +11,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
@@ -35,6 +38,7 @@
 import org.lavenderwick.core.model.ServiceName;
 import org.lavenderwick.standins.GroupEmulator;
 import org.lavenderwick.standins.HistoryEvent;
+import org.lavenderwick.standins.LinkRelay;
 import org.lavenderwick.standins.StandinFleet;
 
 /** Daemons in three failure domains in front of stand-ins: one group of three endpoints. */
@@ -50,6 +54,7 @@
 
     private final List<HistoryEvent> history = new ArrayList<>();
     private final List<Daemon> daemons = new ArrayList<>();
+    private final Map<Daemon, LinkRelay> relays = new IdentityHashMap<>();
     private final StandinFleet fleet;
     private final HttpClient client = HttpClient.newBuilder()
             .version(HttpClient.Version.HTTP_1_1)
@@ -96,25 +101,39 @@
     private void addDaemon(int index) throws Exception {
         int block = index % 3 + 1;
         String address = "127.0." + block + "." + (10 + index);
+        int peerPort = freePort(address);
+        LinkRelay relay = LinkRelay.start("127.0." + block + "." + (50 + index), 0, address + ":" + peerPort);
         DaemonSettings settings = new DaemonSettings(
                 DaemonName.of("daemon-" + index),
                 FailureDomain.of("domain-" + block),
                 address,
                 0,
                 0,
-                0,
+                peerPort,
                 fleet.platform().address(),
                 List.of(),
                 4,
                 100_000,
                 LogFormat.TEXT,
                 Timeouts.DEFAULTS);
-        Daemon daemon = Daemon.start(settings);
+        Daemon daemon = Daemon.start(settings, DaemonOptions.standard().withAdvertisedPeerAddress(relay.address()));
         daemons.add(daemon);
+        relays.put(daemon, relay);
         fleet.platform()
                 .putHost(new HostEntry(settings.daemon(), settings.failureDomain(), daemon.peerAddress(), false));
     }
 
+    private static int freePort(String address) throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(address))) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /** Returns the relay through which other daemons reach this one. */
+    LinkRelay relay(Daemon daemon) {
+        return relays.get(daemon);
+    }
+
     private void record(HistoryEvent event) {
         synchronized (history) {
             history.add(event);
@@ -160,7 +179,7 @@
 
     CompletableFuture<Answer> postAsync(Daemon daemon, String path, String body) {
         HttpRequest request = HttpRequest.newBuilder(
-                        URI.create("http://" + daemon.peerAddress().split(":")[0] + ":" + daemon.callerPort() + path))
+                        URI.create("http://" + daemon.address() + ":" + daemon.callerPort() + path))
                 .header("Content-Type", "application/json")
                 .timeout(PATIENCE)
                 .POST(HttpRequest.BodyPublishers.ofString(body))
@@ -209,6 +228,7 @@
     @Override
     public void close() {
         daemons.forEach(Daemon::close);
+        relays.values().forEach(LinkRelay::close);
         fleet.close();
     }
 
