--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/Main.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/Main.java
@@ -50,14 +50,18 @@
 
     /** Runs the daemon until it is told to stop. */
     public static void main(String[] arguments) {
-        int status = new Main().run(arguments);
+        int status = execute(arguments);
         if (status != DONE) {
             System.exit(status);
         }
     }
 
-    /** Parses the arguments and runs the daemon; returns the exit status. */
-    int run(String... arguments) {
+    /** Runs the program and returns its exit status. */
+    static int execute(String... arguments) {
+        return new Main().run(arguments);
+    }
+
+    private int run(String... arguments) {
         JCommander commander =
                 JCommander.newBuilder().programName(PROGRAM).addObject(this).build();
         try {
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/FaultTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/FaultTest.java
@@ -113,7 +113,7 @@
     }
 
     @Test
-    void whenOpenConnectionsToTheLeadGoSilentNewOnesServe() {
+    void whenOpenConnectionsToTheLeadGoSilentNewOnesServe() throws Exception {
         Daemon entry = cluster.others().get(0);
         Daemon lead = cluster.lead();
         assertThat(write(entry, "warm").status()).isEqualTo(200);
--- /dev/null
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/MainTest.java
@@ -0,0 +1,70 @@
+package org.lavenderwick.daemon;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class MainTest {
+    private final PrintStream out = System.out;
+    private final PrintStream err = System.err;
+    private final ByteArrayOutputStream output = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream errors = new ByteArrayOutputStream();
+
+    @TempDir
+    private Path directory;
+
+    @BeforeEach
+    void capture() {
+        System.setOut(new PrintStream(output, true, StandardCharsets.UTF_8));
+        System.setErr(new PrintStream(errors, true, StandardCharsets.UTF_8));
+    }
+
+    @AfterEach
+    void restore() {
+        System.setOut(out);
+        System.setErr(err);
+    }
+
+    private String errorLine() {
+        String text = errors.toString(StandardCharsets.UTF_8);
+        assertThat(text.lines()).as("errors take one line").hasSize(1);
+        return text;
+    }
+
+    @Test
+    void helpAndVersionAreDone() {
+        assertThat(Main.execute("--help")).isEqualTo(Main.DONE);
+        assertThat(output.toString(StandardCharsets.UTF_8)).contains("--settings");
+        assertThat(Main.execute("--version")).isEqualTo(Main.DONE);
+        assertThat(output.toString(StandardCharsets.UTF_8)).contains("lavenderwickd ");
+    }
+
+    @Test
+    void unknownAndMissingOptionsAreUsageErrors() {
+        assertThat(Main.execute("--what")).isEqualTo(Main.USAGE);
+        assertThat(errorLine()).startsWith("lavenderwickd: ");
+    }
+
+    @Test
+    void missingSettingsAreAUsageError() {
+        assertThat(Main.execute()).isEqualTo(Main.USAGE);
+        assertThat(errorLine()).contains("--settings");
+    }
+
+    @Test
+    void wrongSettingsAreNamedWithTheirPaths() throws Exception {
+        Path file = directory.resolve("settings.json");
+        Files.writeString(file, "{\"daemon\":\"d\",\"what\":1}");
+        assertThat(Main.execute("--settings", file.toString())).isEqualTo(Main.USAGE);
+        assertThat(errorLine()).contains("what: ").contains("failureDomain: ");
+    }
+}
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/RequestPathTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/RequestPathTest.java
@@ -218,7 +218,7 @@
         }
 
         @Test
-        void ofAWriteWithoutKeyIsAnUnknownOutcomeAndTheWriteRunsOnce() {
+        void ofAWriteWithoutKeyIsAnUnknownOutcomeAndTheWriteRunsOnce() throws Exception {
             write(cluster.lead(), "warm", "v");
             cluster.fleet().endpoint(primary).injectAnswerFault(AnswerFault.DISCONNECTED, 1);
             List<TestCluster.Answer> answers = new ArrayList<>();
@@ -234,7 +234,7 @@
         }
 
         @Test
-        void ofAWriteWithKeyIsMadeUpForByARepeatThatRunsOnce() {
+        void ofAWriteWithKeyIsMadeUpForByARepeatThatRunsOnce() throws Exception {
             write(cluster.lead(), "warm", "v");
             cluster.fleet().endpoint(primary).injectAnswerFault(AnswerFault.DISCONNECTED, 1);
             for (int i = 0; i < 5; i++) {
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/TestCluster.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/TestCluster.java
@@ -159,16 +159,20 @@
         return daemons;
     }
 
-    /** Returns the lead owner of the group. */
-    Daemon lead() {
-        return daemons.stream()
-                .filter(daemon -> daemon.status().groups().stream().anyMatch(group -> group.lead()))
-                .findFirst()
-                .orElseThrow();
+    /** Returns the lead owner of the group, once exactly one daemon takes itself for it. */
+    Daemon lead() throws Exception {
+        return await(
+                        "one lead owner",
+                        () -> daemons.stream()
+                                .filter(daemon ->
+                                        daemon.status().groups().stream().anyMatch(group -> group.lead()))
+                                .toList(),
+                        leads -> leads.size() == 1)
+                .get(0);
     }
 
     /** Returns daemons other than the lead owner. */
-    List<Daemon> others() {
+    List<Daemon> others() throws Exception {
         Daemon lead = lead();
         return daemons.stream().filter(daemon -> daemon != lead).toList();
     }
