Make two admission tests provoke the failure they guard against

Trial mutations showed that the test of saved credit and the test of a pause passed without the code they guard: the rank never had work, and the waiting items no longer counted. Both now fail without it.

--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/admission/RankedAdmissionQueueTest.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/admission/RankedAdmissionQueueTest.java
@@ -79,19 +79,25 @@
             assertThat((double) simulation.served(URGENT) / simulation.served()).isBetween(0.16, 0.18);
         }
 
-        /** Guards against a rank that saves up credit while idle and then holds up urgent work in a burst. */
+        /** Guards against a rank that keeps credit while it has no work and then holds up urgent work. */
         @Test
-        void anIdleRankSavesNoCredit() {
+        void aRankWithoutWorkKeepsNoCredit() {
             RankedAdmissionQueue queue = queue();
-            for (int id = 0; id < 200; id++) {
+            queue.offer(item(0, BULK, 0, 10_000), ms(0));
+            for (int id = 1; id <= 30; id++) {
                 queue.offer(item(id, URGENT, 0, 10_000), ms(0));
-                queue.take(StartRule.ANY, ms(0));
-            }
-            for (int id = 0; id < 20; id++) {
                 queue.offer(item(1000 + id, BULK, 0, 10_000), ms(0));
-                queue.offer(item(2000 + id, URGENT, 0, 10_000), ms(0));
             }
-            for (int count = 0; count < 9; count++) {
+            takeUrgent(queue, 9);
+            for (int id = 0; id <= 30; id++) {
+                queue.cancel(id == 0 ? 0 : 1000 + id);
+            }
+            queue.offer(item(2000, BULK, 0, 10_000), ms(0));
+            takeUrgent(queue, 9);
+        }
+
+        private void takeUrgent(RankedAdmissionQueue queue, int count) {
+            for (int taken = 0; taken < count; taken++) {
                 assertThat(queue.take(StartRule.ANY, ms(0)).orElseThrow().rank())
                         .isEqualTo(URGENT.name());
             }
@@ -149,10 +155,12 @@
     @Nested
     class EarlyRefusal {
 
-        private RankedAdmissionQueue busyQueue() {
-            RankedAdmissionQueue queue = queue();
+        private final RankSettings patient = new RankSettings(BULK.name(), ms(30_000), 1, 0.1);
+
+        private RankedAdmissionQueue busyQueue(long deadline) {
+            RankedAdmissionQueue queue = RankedAdmissionQueue.create(List.of(URGENT, patient), 500);
             for (int id = 0; id < 140; id++) {
-                queue.offer(item(id, BULK, 0, 60_000), ms(0));
+                queue.offer(item(id, patient, 0, deadline), ms(0));
             }
             for (int step = 1; step <= 40; step++) {
                 queue.take(StartRule.ANY, ms(step * 10));
@@ -163,11 +171,11 @@
         /** Guards against work that waits in vain, and against the refusal of work that would be served in time. */
         @Test
         void refusesOnlyWhatCannotBeServedBeforeItsDeadline() {
-            RankedAdmissionQueue queue = busyQueue();
-            Either<Failure, List<Refusal>> hopeless = queue.offer(item(900, BULK, 400, 1_200), ms(400));
+            RankedAdmissionQueue queue = busyQueue(1_100);
+            Either<Failure, List<Refusal>> hopeless = queue.offer(item(900, patient, 400, 1_200), ms(400));
             assertThat(hopeless.getLeft().kind()).isEqualTo(ErrorKind.DEADLINE_UNREACHABLE);
             assertThat(queue.cancel(900)).isFalse();
-            assertThat(queue.offer(item(901, BULK, 400, 2_400), ms(400)).isRight())
+            assertThat(queue.offer(item(901, patient, 400, 2_400), ms(400)).isRight())
                     .isTrue();
             assertThat(queue.offer(item(902, URGENT, 400, 500), ms(400)).isRight())
                     .isTrue();
@@ -176,9 +184,9 @@
         /** Guards against a pause, as during a failover, that passes for slow service and refuses everything after. */
         @Test
         void aPauseDoesNotRefuseWorkAfterwards() {
-            RankedAdmissionQueue queue = busyQueue();
+            RankedAdmissionQueue queue = busyQueue(8_000);
             queue.take(StartRule.ANY, ms(6_000));
-            assertThat(queue.offer(item(901, BULK, 6_000, 9_000), ms(6_000)).isRight())
+            assertThat(queue.offer(item(901, patient, 6_000, 9_000), ms(6_000)).isRight())
                     .isTrue();
         }
 
