--- a/lavenderwick-benchmarks/src/main/java/org/lavenderwick/benchmarks/ShortBenchmarks.java
+++ b/lavenderwick-benchmarks/src/main/java/org/lavenderwick/benchmarks/ShortBenchmarks.java
@@ -9,7 +9,13 @@
 
 /**
  * Runs the benchmarks briefly: one fork, 2 warm-up and 3 measured iterations of 300 ms. Arguments are those of JMH and
- * take precedence. A forked run needs the whole class path in {@code java.class.path}, which {@code java -cp} provides.
+ * take precedence.
+ *
+ * <pre>
+ * mvn -pl lavenderwick-benchmarks -am process-classes dependency:build-classpath -Dmdep.outputFile=target/classpath.txt
+ * java -cp lavenderwick-benchmarks/target/classes:$(cat lavenderwick-benchmarks/target/classpath.txt) \
+ *     org.lavenderwick.benchmarks.ShortBenchmarks -wi 3 -w 500ms -i 5 -r 500ms
+ * </pre>
  */
 public final class ShortBenchmarks {
 
