--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/Daemon.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/Daemon.java
@@ -17,6 +17,7 @@
 import com.google.common.net.InetAddresses;
 import io.vavr.control.Either;
 import org.jboss.logging.Logger;
+import org.lavenderwick.adapters.audit.AuditLog;
 import org.lavenderwick.adapters.caller.CallerServer;
 import org.lavenderwick.adapters.endpoint.EndpointPort;
 import org.lavenderwick.adapters.endpoint.HttpEndpointPort;
@@ -215,8 +216,14 @@
         GroupRecords records = GroupRecords.on(platform);
         // Each thread that asks uses its own generator.
         RandomGenerator random = () -> ThreadLocalRandom.current().nextLong();
-        ControlContext context =
-                new ControlContext(self, threads.control(), platform, records, InstantSource.system(), random);
+        ControlContext context = new ControlContext(
+                self,
+                threads.control(),
+                platform,
+                records,
+                AuditLog.create(platform, threads.timer(), threads.clock(), random),
+                InstantSource.system(),
+                random);
         GroupEnvironment environment = new GroupEnvironment(
                 endpoints,
                 settings.timeouts().endpoint(),
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/PromotionRun.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/PromotionRun.java
@@ -13,6 +13,7 @@
 import org.lavenderwick.adapters.endpoint.EndpointConnection;
 import org.lavenderwick.adapters.endpoint.EndpointStatus;
 import org.lavenderwick.adapters.platform.Lease;
+import org.lavenderwick.core.audit.AuditEntry;
 import org.lavenderwick.core.error.ErrorKind;
 import org.lavenderwick.core.error.Failure;
 import org.lavenderwick.core.model.EndpointName;
@@ -20,6 +21,7 @@
 import org.lavenderwick.core.promotion.GroupRecord;
 import org.lavenderwick.core.promotion.PromotionAction;
 import org.lavenderwick.core.promotion.PromotionCoordinator;
+import org.lavenderwick.core.promotion.PromotionOutcome;
 import org.lavenderwick.core.promotion.PromotionRequest;
 import org.lavenderwick.core.promotion.PromotionTimings;
 import org.lavenderwick.daemon.group.GroupExecutor;
@@ -28,6 +30,9 @@
 /** Performs the actions of one coordinator and feeds it the answers. Confined to the control thread. */
 final class PromotionRun {
     private static final Logger LOG = Logger.getLogger(PromotionRun.class);
+    /** Time in which an audit entry is tried again; an outage of the platform may take hours. */
+    private static final Duration AUDIT_TIME = Duration.ofHours(6);
+
     private static final PromotionTimings TIMINGS = PromotionTimings.DEFAULT;
 
     private final ControlContext context;
@@ -39,6 +44,7 @@
     private Optional<Lease> lease = Optional.empty();
     private Future<?> wake;
     private boolean stopped;
+    private boolean planned;
 
     PromotionRun(
             ControlContext context,
@@ -56,6 +62,7 @@
     }
 
     void start(PromotionRequest request) {
+        planned = request.planned();
         perform(coordinator.start(request, now()));
     }
 
@@ -184,10 +191,35 @@
         });
     }
 
+    private void audit(PromotionAction.Finished finished) {
+        AuditEntry entry = new AuditEntry(
+                context.self().daemon().value(),
+                context.wallClock().instant(),
+                (planned ? "planned promotion " : "promotion ") + group,
+                finished.before().map(PromotionRun::describe).orElse(""),
+                finished.after().map(PromotionRun::describe).orElse(""));
+        context.control().deliver(context.audit().append(entry, AUDIT_TIME), answer -> {
+            if (answer.isLeft()) {
+                LOG.errorf(
+                        "[audit] %s: a promotion may have no audit entry: %s",
+                        group, answer.getLeft().detail());
+            }
+        });
+    }
+
+    private static String describe(GroupRecord record) {
+        return "term " + record.term() + " with " + record.primary();
+    }
+
     private void finish(PromotionAction.Finished finished) {
         LOG.infof("[promotion] %s: the coordinator ended with %s.", group, finished.outcome());
         stop();
         finished.after().ifPresent(executor::hint);
+        boolean changed =
+                finished.outcome() == PromotionOutcome.OPENED || finished.outcome() == PromotionOutcome.REOPENED;
+        if (changed) {
+            audit(finished);
+        }
         onFinished.accept(finished.after());
     }
 }
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/OperationTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/OperationTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.lavenderwick.adapters.json.JsonMappers;
 import org.lavenderwick.adapters.platform.VersionedValue;
+import org.lavenderwick.core.audit.AuditChunk;
 import org.lavenderwick.core.configuration.Configuration;
 import org.lavenderwick.core.configuration.PlannedStop;
 import org.lavenderwick.core.model.EndpointName;
@@ -96,6 +97,14 @@
             writes++;
         }
         assertThat(cluster.group().value(EndpointName.of("ledger-2"), "before")).isPresent();
+        cluster.await(
+                "audit entry",
+                () -> cluster.fleet().platform().read(AuditChunk.key(Instant.now(), 0)),
+                chunk -> chunk.map(VersionedValue::value)
+                        .filter(text -> text.contains("planned promotion ledger")
+                                && text.contains("term 1 with ledger-1")
+                                && text.contains("term 2 with ledger-2"))
+                        .isPresent());
         for (int i = 0; i < writes; i++) {
             assertThat(cluster.group().value(EndpointName.of("ledger-2"), "during-" + i))
                     .isPresent();
