--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/Main.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/Main.java
@@ -97,30 +97,33 @@
         } catch (Exception e) {
             return fail(FAILED, "the daemon does not start: " + e.getMessage());
         }
-        CountDownLatch stopped = new CountDownLatch(1);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon, stopped), "stop"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "stop"));
         try {
-            stopped.await();
+            new CountDownLatch(1).await();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
         return DONE;
     }
 
-    /** Drains the daemon on SIGTERM. The Java runtime ends the process when this returns. */
-    private static void stop(Daemon daemon, CountDownLatch stopped) {
+    /**
+     * Drains the daemon on SIGTERM and ends the process. Without the halt the Java runtime would end it with the status
+     * of a killed process.
+     */
+    private static void stop(Daemon daemon) {
         Logger log = Logger.getLogger(Main.class);
+        int status = FAILED;
         try {
             DrainState state = daemon.drain().get();
+            status = state == DrainState.DONE ? DONE : FAILED;
             log.infof("[daemon] Stops after a drain that ended as %s.", state);
         } catch (ExecutionException e) {
             log.errorf(e, "[daemon] The drain failed.");
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-        } finally {
-            daemon.close();
-            stopped.countDown();
         }
+        daemon.close();
+        Runtime.getRuntime().halt(status);
     }
 
     private static int fail(int status, String message) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/ControlPlane.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/ControlPlane.java
@@ -44,6 +44,9 @@
     /** Time to give the seat back on the platform; its lease lapses by itself if that fails. */
     private static final Duration FREE_BOUND = Duration.ofSeconds(3);
 
+    /** Time after the drain in which requests that were on their way get a refusal, not a broken connection. */
+    private static final Duration LINGER = Duration.ofMillis(500);
+
     private static final Logger LOG = Logger.getLogger(ControlPlane.class);
 
     private final ControlContext context;
@@ -198,7 +201,9 @@
             LOG.infof("[drain] Ended as %s with %d requests in flight.", state, drain.inFlight());
             groups.clear(Failure.of(ErrorKind.DRAINING, "The daemon is shutting down; use another one."));
             seat.free();
-            awaitFreed(control.now().plus(FREE_BOUND), () -> done.complete(state));
+            awaitFreed(
+                    control.now().plus(FREE_BOUND),
+                    () -> control.at(control.now().plus(LINGER), () -> done.complete(state)));
         } else {
             control.at(control.now().plus(DRAIN_LOOK), () -> awaitEnd(done));
         }
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/TestCluster.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/TestCluster.java
@@ -123,7 +123,7 @@
                 .putHost(new HostEntry(settings.daemon(), settings.failureDomain(), daemon.peerAddress(), false));
     }
 
-    private static int freePort(String address) throws IOException {
+    static int freePort(String address) throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(address))) {
             return socket.getLocalPort();
         }
