--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/EvidenceKeeper.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/EvidenceKeeper.java
@@ -76,7 +76,9 @@
         boolean idle = lastLook == null || now.minus(lastLook).compareTo(IDLE) > 0;
         lastLook = now;
         if (missingSince == null || idle || !missingTerm.equals(term)) {
-            missingSince = now;
+            // After a search without success work waits for evidence instead of being sent in the hope of it.
+            boolean failedBefore = missingSince != null && missingTerm.equals(term);
+            missingSince = failedBefore ? now.minus(HOPE) : now;
             missingTerm = term;
             answered.clear();
         }
--- a/lavenderwick-scenarios/src/test/java/org/lavenderwick/scenarios/Caller.java
+++ b/lavenderwick-scenarios/src/test/java/org/lavenderwick/scenarios/Caller.java
@@ -197,6 +197,9 @@
     private Answer send(String path, ObjectNode body) {
         session.ifPresent(token -> body.put("session", token));
         List<String> known = daemons.get();
+        if (known.isEmpty()) {
+            return Answer.NONE;
+        }
         turn++;
         Answer answer = client.post(known.get(Math.floorMod(turn, known.size())), path, body.toString());
         if (answer.body().path("session").isTextual()) {
--- a/lavenderwick-scenarios/src/test/java/org/lavenderwick/scenarios/FaultSteps.java
+++ b/lavenderwick-scenarios/src/test/java/org/lavenderwick/scenarios/FaultSteps.java
@@ -1,23 +1,34 @@
 package org.lavenderwick.scenarios;
 
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Set;
 
+import io.cucumber.java.en.Then;
 import io.cucumber.java.en.When;
 import org.lavenderwick.adapters.endpoint.EndpointStatus;
-import org.lavenderwick.core.model.EndpointName;
 import org.lavenderwick.daemon.Daemon;
 import org.lavenderwick.standins.AnswerFault;
 import org.lavenderwick.standins.EndpointServer;
 import org.lavenderwick.standins.PlatformFaults;
 import org.lavenderwick.standins.Replication;
+import org.lavenderwick.standins.history.AppliedWrite;
+
+import static org.assertj.core.api.Assertions.assertThat;
 
 /** Steps that cause and end faults. */
 public final class FaultSteps {
     private static final int BLOCKS = 3;
     private static final long SEED = 17;
 
+    private static final int DEADLINE_MILLIS = 3_000;
+    private static final int SHORT_DEADLINE_MILLIS = 700;
+
+    private final List<String> abandoned = new ArrayList<>();
     private final World world;
     private EndpointStatus before;
+    private long faultsBefore;
 
     /** Creates the steps of one scenario. */
     public FaultSteps(World world) {
@@ -39,13 +50,6 @@
         cluster().local().cutOff(Set.of(cluster().domain(before.endpoint())));
     }
 
-    /** Separates the failure domain of a replica from all others. */
-    @When("the failure domain of a replica is cut off")
-    public void cutOffReplica() {
-        EndpointName replica = cluster().replicas().get(0).name();
-        cluster().local().cutOff(Set.of(cluster().domain(replica)));
-    }
-
     /** Ends the partition. */
     @When("the failure domains are connected again")
     public void reconnect() {
@@ -91,9 +95,7 @@
     /** Lets replicas follow late. */
     @When("the replicas are {int} ms behind")
     public void delayReplicas(int millis) {
-        cluster()
-                .replicas()
-                .forEach(replica -> replica.replication(Replication.delayed(java.time.Duration.ofMillis(millis))));
+        cluster().replicas().forEach(replica -> replica.replication(Replication.delayed(Duration.ofMillis(millis))));
     }
 
     /** Refuses all platform calls. */
@@ -129,6 +131,7 @@
     /** Makes answers of the primary go wrong. */
     @When("{int} percent of the answers of the endpoints are {word}")
     public void endpointAnswers(int percent, String fault) {
+        faultsBefore = answerFaults();
         cluster()
                 .fleet()
                 .endpoints()
@@ -156,4 +159,58 @@
     public void killLead() throws InterruptedException {
         cluster().local().kill(cluster().lead());
     }
+
+    /** Slows the answers of all endpoints, which bounds what their connections carry. */
+    @When("the endpoints answer after {int} ms")
+    public void slowEndpoints(int millis) {
+        cluster().fleet().endpoints().forEach(endpoint -> endpoint.answerDelay(Duration.ofMillis(millis)));
+    }
+
+    /** Begins transactions that nobody ends. */
+    @When("{int} callers leave their transactions open")
+    public void abandonTransactions(int count) {
+        for (int i = 0; i < count; i++) {
+            abandoned.add(cluster().callers().create("normal", DEADLINE_MILLIS).abandonTransaction());
+        }
+        assertThat(cluster().primary().openTransactions()).isGreaterThanOrEqualTo(count);
+    }
+
+    /** Waits for the end of all transactions at the endpoints; those that nobody committed must not be there. */
+    @Then("the open transactions are rolled back")
+    public void rolledBack() throws InterruptedException {
+        cluster().callers().stop();
+        cluster()
+                .await(
+                        "end of all transactions",
+                        () -> cluster().fleet().endpoints().stream()
+                                .allMatch(endpoint -> endpoint.status().openTransactions() == 0));
+        assertThat(abandoned).isNotEmpty();
+        assertThat(cluster().writes().stream().map(AppliedWrite::value)).doesNotContainAnyElementsOf(abandoned);
+    }
+
+    /** Loses the answers of writes; each caller's deadline passes before the daemon repeats, so the caller repeats. */
+    @When("the answers to {int} writes with idempotency keys are lost after their effect")
+    public void loseAnswers(int count) {
+        for (int i = 0; i < count; i++) {
+            Caller caller = cluster().callers().create("urgent", SHORT_DEADLINE_MILLIS);
+            cluster().primaryServer().injectAnswerFault(AnswerFault.LOST, 1);
+            caller.write(true);
+            caller.read();
+        }
+    }
+
+    private long answerFaults() {
+        return cluster().fleet().endpoints().stream()
+                .mapToLong(EndpointServer::answerFaults)
+                .sum();
+    }
+
+    /** Requires that answers of the endpoints went wrong since they were told so. */
+    @Then("faults of answers occurred")
+    public void answerFaultsOccurred() throws InterruptedException {
+        cluster().callers().stop();
+        long faults = answerFaults() - faultsBefore;
+        System.out.printf("faults of answers: %d%n", faults);
+        assertThat(faults).isPositive();
+    }
 }
--- a/lavenderwick-scenarios/src/test/java/org/lavenderwick/scenarios/LoadSteps.java
+++ b/lavenderwick-scenarios/src/test/java/org/lavenderwick/scenarios/LoadSteps.java
@@ -2,10 +2,11 @@
 
 import io.cucumber.java.en.Given;
 import io.cucumber.java.en.When;
+import org.lavenderwick.standins.history.OperationResult;
 
 /** Steps that start the cluster and the callers and wait for their progress. */
 public final class LoadSteps {
-    private static final int DEADLINE_MILLIS = 4_000;
+    private static final int DEADLINE_MILLIS = 3_000;
 
     private final World world;
 
@@ -72,4 +73,16 @@
     public void stop() throws InterruptedException {
         world.cluster().callers().stop();
     }
+
+    /** Waits for refusals since the mark of the scenario. */
+    @When("{int} requests have been refused as not run")
+    public void refused(int count) throws InterruptedException {
+        Records records = world.cluster().records();
+        world.cluster()
+                .await(
+                        count + " refusals",
+                        () -> records.count(
+                                        world.mark(), seen -> seen.operation().result() == OperationResult.NOT_RUN)
+                                >= count);
+    }
 }
--- a/lavenderwick-standins/src/main/java/org/lavenderwick/standins/AnswerFaults.java
+++ b/lavenderwick-standins/src/main/java/org/lavenderwick/standins/AnswerFaults.java
@@ -11,6 +11,7 @@
     private final Map<AnswerFault, Integer> next = new EnumMap<>(AnswerFault.class);
     private final Map<AnswerFault, Double> chances = new EnumMap<>(AnswerFault.class);
     private Random random = new Random(0);
+    private long drawn;
 
     /** Makes the next answers go wrong. */
     synchronized void inject(AnswerFault fault, int answers) {
@@ -28,7 +29,18 @@
         chances.clear();
     }
 
+    /** Returns the number of answers that went wrong since the start. */
+    synchronized long drawn() {
+        return drawn;
+    }
+
     synchronized Optional<AnswerFault> draw() {
+        Optional<AnswerFault> fault = choose();
+        drawn += fault.isPresent() ? 1 : 0;
+        return fault;
+    }
+
+    private Optional<AnswerFault> choose() {
         for (AnswerFault fault : AnswerFault.values()) {
             int left = next.getOrDefault(fault, 0);
             if (left > 0) {
--- a/lavenderwick-standins/src/main/java/org/lavenderwick/standins/EndpointServer.java
+++ b/lavenderwick-standins/src/main/java/org/lavenderwick/standins/EndpointServer.java
@@ -154,6 +154,11 @@
         answerFaults.chance(fault, probability, seed);
     }
 
+    /** Returns the number of answers that went wrong by injected faults since the start. */
+    public long answerFaults() {
+        return answerFaults.drawn();
+    }
+
     /** Makes the connections that are open now silent for good; new ones work. */
     public void silenceOpenConnections() {
         sessions.keySet().forEach(this::silence);
