Open a connection when transactions hold all others; refuse work that is too late

An owner now always opens a connection if transactions hold all others, asks the policy with the time an open takes, and looks at its queue every 5 ms. Work that gets a connection when no answer can come in time is refused as not run instead of being sent.

Readiness ends at once when a drain is ordered, and answers of peers after the close of the client no longer fail.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/ControlPlane.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/ControlPlane.java
@@ -186,9 +186,9 @@
      */
     public CompletableFuture<DrainState> drain() {
         CompletableFuture<DrainState> done = new CompletableFuture<>();
+        drain.begin(control.now());
         control.execute(() -> {
             LOG.infof("[drain] Draining with %d requests in flight.", drain.inFlight());
-            drain.begin(control.now());
             seat.leave();
             awaitEnd(done);
         });
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/GroupExecutor.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/GroupExecutor.java
@@ -32,7 +32,7 @@
  */
 public final class GroupExecutor implements WorkRunner {
     /** Pause between two looks at a queue whose work could not start. */
-    private static final Duration LOOK_INTERVAL = Duration.ofMillis(20);
+    private static final Duration LOOK_INTERVAL = Duration.ofMillis(5);
 
     /** Retries that may be sent before any request brought in its share. */
     private static final int INITIAL_RETRIES = 10;
@@ -77,7 +77,7 @@
                 environment.random(),
                 environment.wallClock(),
                 new ReplicaRefresher(context, targets::askStatus)::refresh,
-                () -> openTransactions());
+                target -> openTransactions(target));
         this.refresher = new RecordRefresher(
                 environment.records(),
                 placement.group(),
@@ -188,8 +188,8 @@
         return done;
     }
 
-    private int openTransactions() {
-        return transactions.openCount();
+    private int openTransactions(Target target) {
+        return transactions.openAt(target);
     }
 
     private void accept(Pending pending) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/Pending.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/Pending.java
@@ -66,8 +66,15 @@
         return behind;
     }
 
-    boolean pastDeadline(Duration now) {
-        return now.compareTo(work.deadline()) >= 0;
+    /** Returns whether an answer can come before the deadline if a call takes the given time. */
+    boolean inTime(Duration now, Duration callTime) {
+        return now.plus(callTime).compareTo(work.deadline()) < 0;
+    }
+
+    /** Fails work that got a connection too late. A write sent then would most likely have an unknown outcome. */
+    void failLate() {
+        fail(WorkFailure.of(
+                ErrorKind.DEADLINE_UNREACHABLE, "A connection was free too late for an answer before the deadline."));
     }
 
     void answer(WorkAnswer answer) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/SingleRunner.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/SingleRunner.java
@@ -79,11 +79,10 @@
     private void send(Attempt attempt, long connection) {
         Work work = attempt.pending.work();
         Duration sentAt = context.loop().now();
-        if (attempt.pending.pastDeadline(sentAt)) {
+        if (!attempt.pending.inTime(sentAt, attempt.target.latency())) {
             attempt.target.ended();
             attempt.target.link().release(connection, ReleaseState.CLEAN);
-            attempt.pending.fail(WorkFailure.of(
-                    ErrorKind.DEADLINE_UNREACHABLE, "The deadline passed before a connection was free."));
+            attempt.pending.failLate();
             return;
         }
         attempt.term.ifPresent(term -> context.evidence().ask(term));
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/StartPlanner.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/StartPlanner.java
@@ -6,7 +6,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.IntSupplier;
+import java.util.function.ToIntFunction;
 import java.util.random.RandomGenerator;
 
 import org.lavenderwick.adapters.endpoint.TransactionStep;
@@ -31,12 +31,15 @@
     /** Connections to the primary that no open transaction may hold. */
     private static final int KEPT_CONNECTIONS = 2;
 
+    /** Time until a connection that is opened now can be used; an open takes about 12 ms. */
+    private static final Duration OPEN_TIME = Duration.ofMillis(20);
+
     private final GroupContext state;
     private final ReadRouting routing;
     private final RandomGenerator random;
     private final InstantSource wallClock;
     private final Runnable refreshReplicas;
-    private final IntSupplier openTransactions;
+    private final ToIntFunction<Target> openTransactions;
     private final Map<Long, Plan> plans = new HashMap<>();
 
     /**
@@ -47,7 +50,7 @@
      * @param random source of the choices of routing
      * @param wallClock wall time
      * @param refreshReplicas asks replicas how far they are
-     * @param openTransactions number of open transactions
+     * @param openTransactions number of open transactions that hold a connection of a target
      */
     StartPlanner(
             GroupContext state,
@@ -55,7 +58,7 @@
             RandomGenerator random,
             InstantSource wallClock,
             Runnable refreshReplicas,
-            IntSupplier openTransactions) {
+            ToIntFunction<Target> openTransactions) {
         this.state = state;
         this.routing = routing;
         this.random = random;
@@ -107,7 +110,7 @@
         }
         Target target = primary.get();
         boolean begin = pending.work().step() == TransactionStep.BEGIN;
-        if (begin && openTransactions.getAsInt() >= maxTransactions(target)) {
+        if (begin && openTransactions.applyAsInt(target) >= maxTransactions(target)) {
             pending.obstacle(Failure.of(ErrorKind.QUEUE_FULL, "Too many transactions are open."));
             return Optional.empty();
         }
@@ -175,10 +178,26 @@
         return routing.choose(views, needs, random);
     }
 
-    /** An endpoint without any traffic connection gets one in any case, since its work would never start otherwise. */
+    /**
+     * An endpoint whose traffic connections are all held by transactions gets another one in any case, since the work
+     * would not start otherwise.
+     */
     private boolean mayOpen(Target target, Demand demand) {
-        return target.hasRoom(true)
-                && (target.link().trafficConnections() == 0 || state.usage().mayOpen(demand));
+        if (!target.hasRoom(true)) {
+            return false;
+        }
+        Demand withOpening = new Demand(
+                demand.rank(),
+                demand.statements(),
+                demand.untilDue(),
+                demand.expectedWait(),
+                demand.expectedService().plus(OPEN_TIME));
+        return sharedConnections(target) <= 0 || state.usage().mayOpen(withOpening);
+    }
+
+    /** Returns the number of traffic connections that no open transaction holds. */
+    private int sharedConnections(Target target) {
+        return target.link().trafficConnections() - openTransactions.applyAsInt(target);
     }
 
     private Demand demand(WorkItem item, Target target) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/TransactionRunner.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/TransactionRunner.java
@@ -64,6 +64,13 @@
         return open.size();
     }
 
+    /** Returns the number of open transactions that hold a connection of the target. */
+    int openAt(Target target) {
+        return (int) open.values().stream()
+                .filter(transaction -> transaction.target() == target)
+                .count();
+    }
+
     /** Begins a transaction on the primary for work that was taken from the queue. */
     void begin(Pending pending, Target target) {
         Term term = context.primaryView().term();
@@ -75,6 +82,12 @@
                 requeue.accept(pending);
                 return;
             }
+            if (!pending.inTime(context.loop().now(), target.latency())) {
+                target.ended();
+                target.link().release(acquired.get(), ReleaseState.CLEAN);
+                pending.failLate();
+                return;
+            }
             OpenTransaction transaction =
                     new OpenTransaction(UUID.randomUUID().toString(), target, acquired.get(), term);
             context.evidence().ask(term);
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/peer/PeerClient.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/peer/PeerClient.java
@@ -164,7 +164,7 @@
             return connection;
         } catch (IOException | TException | RuntimeException e) {
             synchronized (peers) {
-                peers.get(address).open--;
+                peers.computeIfAbsent(address, key -> new Peer()).open--;
             }
             throw e;
         }
@@ -173,7 +173,7 @@
     private void release(String address, PeerConnection connection) {
         boolean kept;
         synchronized (peers) {
-            Peer peer = peers.get(address);
+            Peer peer = peers.computeIfAbsent(address, key -> new Peer());
             kept = peer.idle.size() < MAX_IDLE_PER_PEER && !connection.client().hasError();
             if (kept) {
                 peer.idle.addFirst(connection);
@@ -194,7 +194,7 @@
     private void discard(String address, PeerConnection connection) {
         connection.close();
         synchronized (peers) {
-            peers.get(address).open--;
+            peers.computeIfAbsent(address, key -> new Peer()).open--;
         }
     }
 
