Keep the platform's port apart from client ports; test the end of a port

An outage closes the platform's port and opens it again, so the port must not be taken by a client in between. A test closes the endpoint port with a call under way: the call ends as unknown and idle connections run nothing more.

--- a/lavenderwick-standins/src/main/java/org/lavenderwick/standins/StandinFleet.java
+++ b/lavenderwick-standins/src/main/java/org/lavenderwick/standins/StandinFleet.java
@@ -37,7 +37,8 @@
     /** Lower numbers of a block are left to daemons and relays. */
     private static final int FIRST_ENDPOINT_NUMBER = 100;
 
-    private static final String PLATFORM_HOST = "127.0.0.1";
+    /** Not 127.0.0.1, whose ports clients without a bind address use up: a port must be free again after an outage. */
+    private static final String PLATFORM_HOST = "127.0.0.100";
 
     private final StandinRuntime runtime;
     private final PlatformServer platform;
--- a/lavenderwick-standins/src/test/java/org/lavenderwick/standins/HttpEndpointPortTest.java
+++ b/lavenderwick-standins/src/test/java/org/lavenderwick/standins/HttpEndpointPortTest.java
@@ -171,6 +171,25 @@
             return opened.get(0);
         }
 
+        /** Guards against callers that wait for ever, and connections that stay, when the daemon stops. */
+        @Test
+        void closedPortEndsItsConnectionsAndCalls() throws Exception {
+            EndpointConnection busy = fleet.connect(FIRST);
+            EndpointConnection idle = fleet.connect(FIRST);
+            fleet.endpoint(FIRST).answerDelay(TestFleet.PATIENCE);
+            var running = fleet.write("[{'op':'put','key':'a','value':1}]").start(busy, TestFleet.PATIENCE);
+            until(() -> fleet.value(FIRST, "a").isPresent());
+
+            fleet.closePort();
+
+            assertThat(await(running).getLeft().kind()).isEqualTo(ErrorKind.OUTCOME_UNKNOWN);
+            assertThat(await(idle.status(TestFleet.PATIENCE)).getLeft().kind())
+                    .isEqualTo(ErrorKind.NO_ELIGIBLE_ENDPOINT);
+            assertThat(fleet.tryConnect(FIRST, TestFleet.PATIENCE).getLeft().kind())
+                    .isEqualTo(ErrorKind.NO_ELIGIBLE_ENDPOINT);
+            until(() -> fleet.endpoint(FIRST).connections() <= 1);
+        }
+
         /** Guards against two calls whose answers mix on one connection. */
         @Test
         void secondCallAtTheSameTimeDoesNotRun() {
--- a/lavenderwick-standins/src/test/java/org/lavenderwick/standins/TestFleet.java
+++ b/lavenderwick-standins/src/test/java/org/lavenderwick/standins/TestFleet.java
@@ -111,6 +111,11 @@
         return tryConnect(name, PATIENCE).get();
     }
 
+    /** Closes the client, as a daemon does when it stops. */
+    void closePort() {
+        port.close();
+    }
+
     Request write(String statements) {
         return new Request(requests.incrementAndGet(), statements, true);
     }
