Let work in flight end when a group moves to another owner

Before, a daemon that joined displaced the owner of a group and cut its running statements and transactions. Now the former owner refuses waiting work as not run, finishes the rest within 20 s and still takes steps of its transactions. Reads of an unchanged group record back off from 200 to 800 ms. Work that finds a connection pool in backoff marks its endpoint unreachable, so it cannot spin.

New tests: no platform and no majority, a session whose write was dropped, a transaction that outlives the move.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/OwnedGroup.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/OwnedGroup.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 
 import org.lavenderwick.adapters.endpoint.EndpointStatus;
@@ -59,6 +60,14 @@
         promotion.update(placement);
     }
 
+    /** Ends the group with grace; the future completes when nothing is left. */
+    CompletableFuture<Boolean> retire(Failure reason) {
+        promotion.close();
+        paidLevel.close();
+        return executor.retire(reason);
+    }
+
+    /** Ends the group at once. */
     void close(Failure reason) {
         promotion.close();
         paidLevel.close();
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/OwnedGroups.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/control/OwnedGroups.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 import com.google.common.collect.ImmutableMap;
 import org.jboss.logging.Logger;
@@ -20,6 +21,7 @@
 import org.lavenderwick.daemon.entry.GroupDirectory;
 import org.lavenderwick.daemon.entry.Self;
 import org.lavenderwick.daemon.group.GroupPlacement;
+import org.lavenderwick.daemon.group.Work;
 import org.lavenderwick.daemon.group.WorkRunner;
 
 /**
@@ -31,6 +33,7 @@
 
     private final Self self;
     private final OwnedGroup.Factory factory;
+    private final Map<GroupName, OwnedGroup> retiring = new ConcurrentHashMap<>();
     private volatile ImmutableMap<GroupName, OwnedGroup> owned = ImmutableMap.of();
 
     OwnedGroups(Self self, OwnedGroup.Factory factory) {
@@ -39,8 +42,12 @@
     }
 
     @Override
-    public Optional<WorkRunner> runner(GroupName group) {
-        return Optional.ofNullable(owned.get(group)).map(OwnedGroup::executor);
+    public Optional<WorkRunner> runner(Work work) {
+        OwnedGroup current = owned.get(work.group());
+        if (current == null && work.transactionId().isPresent()) {
+            current = retiring.get(work.group());
+        }
+        return Optional.ofNullable(current).map(OwnedGroup::executor);
     }
 
     Optional<OwnedGroup> group(GroupName group) {
@@ -84,17 +91,30 @@
         before.forEach((name, group) -> {
             if (!kept.contains(name)) {
                 LOG.infof("[group] Does not own %s any more.", name);
-                group.close(Failure.of(
-                        ErrorKind.OWNER_UNREACHABLE, "The daemon does not own the database group any more."));
+                end(name, group, seatUsable);
             }
         });
     }
 
+    /** A daemon that may not use its seat any more must close its connections at once. */
+    private void end(GroupName name, OwnedGroup group, boolean withGrace) {
+        Failure reason =
+                Failure.of(ErrorKind.OWNER_UNREACHABLE, "The daemon does not own the database group any more.");
+        if (withGrace) {
+            retiring.put(name, group);
+            group.retire(reason).thenAccept(done -> retiring.remove(name, group));
+        } else {
+            group.close(reason);
+            retiring.values().forEach(rest -> rest.close(reason));
+        }
+    }
+
     /** Ends all executors. */
     void clear(Failure reason) {
         Collection<OwnedGroup> ended = owned.values();
         owned = ImmutableMap.of();
         ended.forEach(group -> group.close(reason));
+        retiring.values().forEach(group -> group.close(reason));
     }
 
     private Optional<GroupPlacement> placement(Configuration configuration, GroupSettings group, Owners owners) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/entry/OwnerRelay.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/entry/OwnerRelay.java
@@ -158,7 +158,7 @@
 
         private void attempt(Seat owner, long tableVersion, boolean fallback) {
             if (owner.isHeldBy(self.daemon(), self.incarnation())) {
-                Optional<WorkRunner> runner = groups.runner(work.group());
+                Optional<WorkRunner> runner = groups.runner(work);
                 if (runner.isEmpty()) {
                     next();
                 } else {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/entry/RelayReceiver.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/entry/RelayReceiver.java
@@ -79,7 +79,7 @@
         if (accepted.isLeft()) {
             return CompletableFuture.completedFuture(RelayCodec.refusal(id, accepted.getLeft()));
         }
-        Optional<WorkRunner> runner = groups.runner(work.group());
+        Optional<WorkRunner> runner = groups.runner(work);
         if (runner.isEmpty()) {
             drain.finished();
             return CompletableFuture.completedFuture(RelayCodec.refusal(
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/EndpointLink.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/EndpointLink.java
@@ -15,6 +15,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 
+import com.google.common.collect.Comparators;
 import io.vavr.control.Either;
 import org.jboss.logging.Logger;
 import org.lavenderwick.adapters.endpoint.EndpointConnection;
@@ -204,6 +205,8 @@
             waiters.get(purpose).add(consumer);
             open(open);
         } else if (((PoolDecision.Wait) decision).retryAt().isPresent()) {
+            unreachableUntil = Comparators.max(
+                    unreachableUntil, ((PoolDecision.Wait) decision).retryAt().get());
             consumer.accept(Either.left(noConnection()));
         } else {
             waiters.get(purpose).add(consumer);
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/GroupExecutor.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/GroupExecutor.java
@@ -12,7 +12,6 @@
 import org.lavenderwick.adapters.endpoint.EndpointStatus;
 import org.lavenderwick.adapters.endpoint.TransactionStep;
 import org.lavenderwick.core.admission.Access;
-import org.lavenderwick.core.admission.Refusal;
 import org.lavenderwick.core.admission.RetryBudget;
 import org.lavenderwick.core.admission.WorkItem;
 import org.lavenderwick.core.billing.PaidLevel;
@@ -21,7 +20,6 @@
 import org.lavenderwick.core.error.ErrorKind;
 import org.lavenderwick.core.error.Failure;
 import org.lavenderwick.core.model.EndpointName;
-import org.lavenderwick.core.model.LogPoint;
 import org.lavenderwick.core.promotion.GroupRecord;
 import org.lavenderwick.core.promotion.PromotionTimings;
 import org.lavenderwick.core.promotion.TermEvidence;
@@ -31,21 +29,23 @@
  * happens on the event loop of the group.
  */
 public final class GroupExecutor implements WorkRunner {
-    /** Pause between two looks at a queue whose work could not start. */
-    private static final Duration LOOK_INTERVAL = Duration.ofMillis(5);
-
     /** Retries that may be sent before any request brought in its share. */
     private static final int INITIAL_RETRIES = 10;
 
     private static final Duration UPKEEP_INTERVAL = Duration.ofSeconds(1);
 
+    /** Time for work in flight after the group has another owner; the idle bound of transactions fits in. */
+    private static final Duration RETIREMENT_BOUND = Duration.ofSeconds(20);
+
+    private static final Duration RETIREMENT_LOOK = Duration.ofMillis(50);
+
     private static final Logger LOG = Logger.getLogger(GroupExecutor.class);
 
     private final GroupEnvironment environment;
     private final EventLoop loop;
     private final GroupObserver observer;
     private final GroupContext context;
-    private final StartPlanner planner;
+    private final WorkQueue queue;
     private final SingleRunner singles;
     private final TransactionRunner transactions;
     private final RetryBudget retries = RetryBudget.create(INITIAL_RETRIES);
@@ -53,9 +53,6 @@
     private final TargetSet targets;
     private GroupPlacement placement;
     private long nextItem = 1;
-    private boolean lookPlanned;
-    private boolean lookDue;
-    private boolean closed;
 
     private GroupExecutor(
             GroupEnvironment environment, EventLoop loop, GroupPlacement placement, GroupObserver observer) {
@@ -71,7 +68,7 @@
                 policies.queue().apply(service),
                 environment.callTimeout());
         this.targets = new TargetSet(environment, context, new Events());
-        this.planner = new StartPlanner(
+        StartPlanner planner = new StartPlanner(
                 context,
                 policies.routing(),
                 environment.random(),
@@ -84,9 +81,9 @@
                 environment.operationPrefix() + "/" + placement.group().name(),
                 loop,
                 this::recordSeen);
-        this.singles = new SingleRunner(context, retries, this::requeue, refresher::refresh);
-        this.transactions =
-                new TransactionRunner(context, this::requeue, refresher::refresh, environment.transactions());
+        this.queue = new WorkQueue(context, planner, refresher::refresh, this::begin);
+        this.singles = new SingleRunner(context, retries, queue::add, refresher::refresh);
+        this.transactions = new TransactionRunner(context, queue::add, refresher::refresh, environment.transactions());
     }
 
     /** Starts an executor. */
@@ -122,9 +119,9 @@
             placement = changed;
             applyEndpoints(former);
             if (!former.service().ranks().equals(changed.service().ranks())) {
-                replaceQueue(changed.service());
+                queue.replace(environment.policies().queue().apply(changed.service()), changed.service());
             }
-            look();
+            queue.lookSoon();
         });
     }
 
@@ -154,7 +151,7 @@
     public void hint(GroupRecord record) {
         loop.execute(() -> {
             context.primaryView().recordSeen(record, loop.now());
-            look();
+            queue.lookSoon();
         });
     }
 
@@ -175,29 +172,61 @@
         return result;
     }
 
-    /** Ends the executor: waiting work is refused as not run, open transactions are rolled back. */
-    public CompletableFuture<Boolean> close(Failure reason) {
+    /**
+     * Ends the executor with grace: waiting work is refused as not run, work in flight and open transactions end by
+     * themselves within a bound. The future completes when nothing is left.
+     */
+    public CompletableFuture<Boolean> retire(Failure reason) {
         CompletableFuture<Boolean> done = new CompletableFuture<>();
         loop.execute(() -> {
-            closed = true;
-            refuse(context.queue().clear(reason));
-            transactions.abortAll();
-            context.targets().forEach(target -> target.link().close());
-            done.complete(true);
+            queue.close(reason);
+            awaitRest(loop.now().plus(RETIREMENT_BOUND), done);
         });
         return done;
     }
 
+    /** Ends the executor at once: waiting work is refused as not run, all connections close. */
+    public void close(Failure reason) {
+        loop.execute(() -> {
+            queue.close(reason);
+            closeLinks();
+        });
+    }
+
+    private void awaitRest(Duration until, CompletableFuture<Boolean> done) {
+        int rest = transactions.openCount()
+                + context.targets().stream().mapToInt(Target::outstanding).sum();
+        if (rest == 0 || loop.now().compareTo(until) >= 0) {
+            closeLinks();
+            done.complete(true);
+        } else {
+            loop.at(loop.now().plus(RETIREMENT_LOOK), () -> awaitRest(until, done));
+        }
+    }
+
+    private void closeLinks() {
+        transactions.abortAll();
+        context.targets().forEach(target -> target.link().close());
+    }
+
+    private void begin(Pending pending, Target target) {
+        if (pending.work().step() == TransactionStep.BEGIN) {
+            transactions.begin(pending, target);
+        } else {
+            singles.start(pending, target);
+        }
+    }
+
     private int openTransactions(Target target) {
         return transactions.openAt(target);
     }
 
     private void accept(Pending pending) {
         Work work = pending.work();
-        if (closed) {
-            pending.fail(WorkFailure.of(ErrorKind.OWNER_UNREACHABLE, "The daemon does not own the group any more."));
-        } else if (work.step() != TransactionStep.SINGLE && work.step() != TransactionStep.BEGIN) {
+        if (work.step() != TransactionStep.SINGLE && work.step() != TransactionStep.BEGIN) {
             transactions.step(pending);
+        } else if (queue.closed()) {
+            pending.fail(WorkFailure.of(ErrorKind.OWNER_UNREACHABLE, "The daemon does not own the group any more."));
         } else {
             Optional<RankSettings> rank = work.rank().flatMap(placement.service()::rank);
             if (rank.isEmpty()) {
@@ -212,85 +241,7 @@
             Duration deadline = work.deadline().compareTo(now) > 0 ? work.deadline() : now;
             pending.item(WorkItem.of(
                     nextItem++, rank.get(), access, StatementCounter.count(work.statements()), now, deadline));
-            requeue(pending);
-        }
-    }
-
-    private void requeue(Pending pending) {
-        if (closed) {
-            pending.fail(WorkFailure.of(ErrorKind.OWNER_UNREACHABLE, "The daemon does not own the group any more."));
-            return;
-        }
-        context.addPending(pending.item().id(), pending);
-        Either<Failure, List<Refusal>> offered = context.queue().offer(pending.item(), loop.now());
-        if (offered.isLeft()) {
-            context.removePending(pending.item().id());
-            pending.giveUp(offered.getLeft());
-        } else {
-            refuse(offered.get());
-        }
-        look();
-    }
-
-    /** Starts what may start, gives up what is too late, and comes back while work waits. */
-    private void look() {
-        refuse(context.queue().expire(loop.now()));
-        Optional<WorkItem> next = context.queue().take(planner, loop.now());
-        while (next.isPresent()) {
-            begin(next.get());
-            next = context.queue().take(planner, loop.now());
-        }
-        if (context.queue().size() > 0) {
-            if (!context.primaryView().usable(loop.now())) {
-                refresher.refresh();
-            }
-            if (!lookPlanned) {
-                lookPlanned = true;
-                loop.at(loop.now().plus(LOOK_INTERVAL), () -> {
-                    lookPlanned = false;
-                    look();
-                });
-            }
-        }
-    }
-
-    private void begin(WorkItem item) {
-        StartPlanner.Plan plan = planner.planOf(item);
-        Optional<Pending> pending = context.removePending(item.id());
-        if (pending.isEmpty()) {
-            return;
-        }
-        if (plan.refusal().isPresent()) {
-            boolean lost = plan.refusal().get().kind() == ErrorKind.SESSION_WRITE_LOST;
-            pending.get()
-                    .fail(new WorkFailure(plan.refusal().get(), lost ? Optional.of(newestPoint()) : Optional.empty()));
-            return;
-        }
-        context.usage().started(plan.demand());
-        if (pending.get().work().step() == TransactionStep.BEGIN) {
-            transactions.begin(pending.get(), plan.target().orElseThrow());
-        } else {
-            singles.start(pending.get(), plan.target().orElseThrow());
-        }
-    }
-
-    /** Returns the newest point that is known to last: that of the primary, else the start of its term. */
-    private LogPoint newestPoint() {
-        PrimaryView view = context.primaryView();
-        long start = view.termStarts().isEmpty()
-                ? 0
-                : view.termStarts().get(view.termStarts().size() - 1).position();
-        return view.primary()
-                .flatMap(context::target)
-                .flatMap(target -> target.link().lastStatus())
-                .map(EndpointStatus::point)
-                .filter(point -> point.term().equals(view.term()))
-                .orElse(new LogPoint(view.term(), start));
-    }
-
-    private void refuse(List<Refusal> refusals) {
-        for (Refusal refusal : refusals) {
-            context.removePending(refusal.item().id()).ifPresent(pending -> pending.giveUp(refusal.failure()));
+            queue.add(pending);
         }
     }
 
@@ -298,7 +249,7 @@
         context.primaryView().recordSeen(record, loop.now());
         context.evidence().recordSeen(record, askedAt);
         observer.recordSeen(record, askedAt);
-        look();
+        queue.lookSoon();
     }
 
     private void statusSeen(EndpointStatus status, Duration askedAt) {
@@ -308,21 +259,7 @@
         if (changed || status.promisedTerm().isAfter(context.primaryView().term())) {
             refresher.refresh();
         }
-        lookSoon();
-    }
-
-    private void replaceQueue(ServiceSettings service) {
-        List<Refusal> waiting = context.queue().clear(Failure.of(ErrorKind.UNKNOWN_RANK, "The rank was removed."));
-        context.queue(environment.policies().queue().apply(service));
-        for (Refusal moved : waiting) {
-            context.removePending(moved.item().id()).ifPresent(pending -> {
-                if (service.rank(moved.item().rank()).isPresent()) {
-                    requeue(pending);
-                } else {
-                    pending.fail(WorkFailure.of(moved.failure()));
-                }
-            });
-        }
+        queue.lookSoon();
     }
 
     private void applyEndpoints(GroupPlacement former) {
@@ -339,21 +276,10 @@
     }
 
     private void upkeep() {
-        if (!closed) {
+        if (!queue.closed()) {
             loop.at(loop.now().plus(UPKEEP_INTERVAL), this::upkeep);
             targets.upkeep(placement);
-            look();
-        }
-    }
-
-    /** Looks at the queue after the present task, once for any number of calls. */
-    private void lookSoon() {
-        if (!lookDue && context.queue().size() > 0) {
-            lookDue = true;
-            loop.execute(() -> {
-                lookDue = false;
-                look();
-            });
+            queue.lookSoon();
         }
     }
 
@@ -365,7 +291,7 @@
 
         @Override
         public void connectionFreed() {
-            lookSoon();
+            queue.lookSoon();
         }
 
         @Override
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/RecordRefresher.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/RecordRefresher.java
@@ -12,6 +12,9 @@
     /** Pause between two reads; the gap of a failover is seconds, and calls to the platform are counted. */
     private static final Duration INTERVAL = Duration.ofMillis(200);
 
+    /** Bound of the doublings of the pause while nothing changes; two pauses fit into the age of evidence. */
+    private static final int MAX_DOUBLINGS = 2;
+
     private static final Logger LOG = Logger.getLogger(RecordRefresher.class);
 
     private final GroupRecords records;
@@ -20,6 +23,8 @@
     private final EventLoop loop;
     private final BiConsumer<GroupRecord, Duration> listener;
     private Duration nextAt = Duration.ZERO;
+    private String lastOperation = "";
+    private int unchanged;
     private boolean reading;
 
     /**
@@ -53,8 +58,12 @@
         reading = true;
         loop.deliver(records.readOrCreate(group, operationId), answer -> {
             reading = false;
-            nextAt = loop.now().plus(INTERVAL);
+            boolean changed =
+                    answer.exists(known -> !known.record().operationId().equals(lastOperation));
+            unchanged = changed ? 0 : Math.min(unchanged + 1, MAX_DOUBLINGS);
+            nextAt = loop.now().plus(INTERVAL.multipliedBy(1L << unchanged));
             if (answer.isRight()) {
+                lastOperation = answer.get().record().operationId();
                 listener.accept(answer.get().record(), askedAt);
             } else {
                 LOG.debugf(
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/FaultTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/FaultTest.java
@@ -16,6 +16,7 @@
 import org.lavenderwick.standins.HistoryEvent;
 import org.lavenderwick.standins.LinkRule;
 import org.lavenderwick.standins.PlatformFaults;
+import org.lavenderwick.standins.Replication;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -168,6 +169,74 @@
                         key -> assertThat(cluster.group().value(primary, key)).isPresent());
     }
 
+    @Test
+    void withoutPlatformAndMajorityWritesAreRefusedAsNotRun() throws Exception {
+        assertThat(write(cluster.daemons().get(0), "before").status()).isEqualTo(200);
+        cluster.fleet().platform().faults(PlatformFaults.NONE.withAvailability(PlatformFaults.Availability.REFUSES));
+        cluster.fleet().endpoint(EndpointName.of("ledger-2")).kill();
+        cluster.fleet().endpoint(EndpointName.of("ledger-3")).kill();
+        TestCluster.Answer refused = cluster.await(
+                "refusal", () -> write(cluster.daemons().get(0), "first"), answer -> answer.status() == 503);
+        assertThat(refused.kind()).isEqualTo("TERM_UNCONFIRMED");
+        for (int i = 0; i < 5; i++) {
+            TestCluster.Answer answer = write(cluster.daemons().get(i % 3), "alone-" + i);
+            assertThat(answer.status()).as(answer.toString()).isEqualTo(503);
+            assertThat(answer.body().path("ran").asText()).isEqualTo("no");
+        }
+        assertThat(cluster.events(HistoryEvent.WriteApplied.class))
+                .noneMatch(event -> event.key().startsWith("alone"));
+        cluster.fleet().endpoint(EndpointName.of("ledger-2")).restart();
+        cluster.await(
+                "write with a majority",
+                () -> write(cluster.daemons().get(1), "again"),
+                answer -> answer.status() == 200);
+    }
+
+    @Test
+    void aSessionWhoseWriteAFailoverDroppedIsToldAndGoesOn() throws Exception {
+        Daemon entry = cluster.daemons().get(0);
+        assertThat(write(entry, "kept").status()).isEqualTo(200);
+        cluster.await(
+                "replication", () -> cluster.group().value(EndpointName.of("ledger-2"), "kept"), Optional::isPresent);
+        cluster.fleet().endpoints().forEach(endpoint -> endpoint.replication(Replication.STOPPED));
+        TestCluster.Answer lost = write(entry, "lost");
+        assertThat(lost.status()).isEqualTo(200);
+        cluster.fleet().endpoint(EndpointName.of("ledger-1")).kill();
+        cluster.fleet().endpoints().forEach(endpoint -> endpoint.replication(Replication.PROMPT));
+        TestCluster.Answer told = cluster.await(
+                "refusal",
+                () -> cluster.post(
+                        entry, TestCluster.STATEMENTS, TestCluster.inSession(TestCluster.get("lost"), lost.session())),
+                answer -> answer.kind().equals("SESSION_WRITE_LOST"));
+        assertThat(told.status()).isEqualTo(409);
+        TestCluster.Answer goesOn = cluster.await(
+                "read with the fresh token",
+                () -> cluster.post(
+                        entry, TestCluster.STATEMENTS, TestCluster.inSession(TestCluster.get("kept"), told.session())),
+                answer -> answer.status() == 200);
+        assertThat(goesOn.result(0).path("value").asText()).isEqualTo("v");
+    }
+
+    @Test
+    void aTransactionOutlivesTheMoveOfItsGroupToAnotherOwner() throws Exception {
+        Daemon lead = cluster.lead();
+        Daemon entry = cluster.others().get(0);
+        TestCluster.Answer begun = cluster.post(entry, TestCluster.TRANSACTIONS, "{\"rank\":\"urgent\"}");
+        String handle = "/v1/transactions/" + begun.body().path("transaction").asText();
+        // Daemons join until one of them takes the place of the owner that runs the transaction.
+        for (int index = 3; !lead.status().groups().isEmpty(); index++) {
+            cluster.addDaemon(index);
+            long seats = index + 1;
+            cluster.await("new seat", lead::status, status -> status.seatTableVersion() >= seats);
+        }
+        TestCluster.Answer step = cluster.post(
+                entry, handle + "/statements", "{\"statements\":[{\"op\":\"put\",\"key\":\"moved\",\"value\":\"v\"}]}");
+        assertThat(step.status()).as(step.toString()).isEqualTo(200);
+        TestCluster.Answer committed = cluster.post(entry, handle + "/commit", "");
+        assertThat(committed.status()).as(committed.toString()).isEqualTo(200);
+        assertThat(cluster.group().value(EndpointName.of("ledger-1"), "moved")).isPresent();
+    }
+
     private static boolean newTerm(TestCluster.Answer answer) {
         return answer.status() == 200
                 && !answer.body().path("endpoint").asText().equals("ledger-1");
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/TestCluster.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/TestCluster.java
@@ -98,7 +98,7 @@
         return cluster;
     }
 
-    private void addDaemon(int index) throws Exception {
+    void addDaemon(int index) throws Exception {
         int block = index % 3 + 1;
         String address = "127.0." + block + "." + (10 + index);
         int peerPort = freePort(address);
