--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/entry/OwnerRelay.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/entry/OwnerRelay.java
@@ -40,12 +40,13 @@
  * </ul>
  */
 public final class OwnerRelay {
-    /** Time after which an owner that owes an answer is checked; most work is answered sooner. */
-    private static final Duration CHECK_AFTER = Duration.ofSeconds(1);
-
     /** Pause before the owners are tried once more, so that a handover of a seat can finish. */
     private static final Duration ROUND_PAUSE = Duration.ofMillis(150);
 
+    /** Answers of an owner that did not run the work, while another owner may be able to. */
+    private static final Set<ErrorKind> NOT_TAKEN = Set.of(
+            ErrorKind.OWNER_UNREACHABLE, ErrorKind.DRAINING, ErrorKind.NOT_CONFIGURED, ErrorKind.TERM_UNCONFIRMED);
+
     private static final int ROUNDS = 3;
     private static final int INITIAL_RETRIES = 10;
     private static final Logger LOG = Logger.getLogger(OwnerRelay.class);
@@ -55,6 +56,7 @@
     private final GroupDirectory groups;
     private final PeerClient peers;
     private final PeerHealth health;
+    private final Duration checkAfter;
     private final MonotonicClock clock;
     private final ScheduledExecutorService timer;
     private final RetryBudget retries = RetryBudget.create(INITIAL_RETRIES);
@@ -67,6 +69,7 @@
      * @param groups the groups that this daemon owns
      * @param peers calls other daemons
      * @param health knows which daemons answer
+     * @param checkAfter time after which an owner that owes an answer is checked
      * @param clock monotonic time
      * @param timer runs pauses
      */
@@ -76,6 +79,7 @@
             GroupDirectory groups,
             PeerClient peers,
             PeerHealth health,
+            Duration checkAfter,
             MonotonicClock clock,
             ScheduledExecutorService timer) {
         this.self = self;
@@ -83,6 +87,7 @@
         this.groups = groups;
         this.peers = peers;
         this.health = health;
+        this.checkAfter = checkAfter;
         this.clock = clock;
         this.timer = timer;
     }
@@ -109,6 +114,7 @@
         private final OwnerChoice choice;
         private final CompletableFuture<Either<WorkFailure, Relayed>> result = new CompletableFuture<>();
         private final Set<String> tried = new HashSet<>();
+        private Optional<Failure> refusal = Optional.empty();
         private boolean mayHaveRun;
         private int round = 1;
         private int attempts;
@@ -121,7 +127,8 @@
         synchronized void next() {
             Duration now = clock.now();
             if (now.compareTo(work.deadline()) >= 0) {
-                fail(Failure.of(ErrorKind.DEADLINE_UNREACHABLE, "The deadline passed before an owner took the work."));
+                fail(refusal.orElse(Failure.of(
+                        ErrorKind.DEADLINE_UNREACHABLE, "The deadline passed before an owner took the work.")));
                 return;
             }
             Owners owners = seats.owners();
@@ -143,7 +150,9 @@
                 tried.clear();
                 timer.schedule(this::next, ROUND_PAUSE.toMillis(), TimeUnit.MILLISECONDS);
             } else {
-                fail(Failure.of(ErrorKind.OWNER_UNREACHABLE, "No owner of the database group can be reached."));
+                fail(refusal.filter(last -> last.kind() == ErrorKind.TERM_UNCONFIRMED)
+                        .orElse(Failure.of(
+                                ErrorKind.OWNER_UNREACHABLE, "No owner of the database group can be reached.")));
             }
         }
 
@@ -163,7 +172,7 @@
             RelayRequest request = RelayCodec.request(work, now, tableVersion, fallback);
             peers.execute(owner.address(), request, work.deadline().minus(now))
                     .thenAccept(answer -> settle(owner, attempt, answer));
-            timer.schedule(() -> check(owner, attempt, request, true), CHECK_AFTER.toMillis(), TimeUnit.MILLISECONDS);
+            timer.schedule(() -> check(owner, attempt, request, true), checkAfter.toMillis(), TimeUnit.MILLISECONDS);
         }
 
         /**
@@ -188,7 +197,7 @@
                 }
                 timer.schedule(
                         () -> check(owner, attempt, request, first && !alive),
-                        CHECK_AFTER.toMillis(),
+                        checkAfter.toMillis(),
                         TimeUnit.MILLISECONDS);
             });
         }
@@ -216,10 +225,8 @@
                 return;
             }
             ErrorKind kind = outcome.getLeft().failure().kind();
-            boolean notTaken = kind == ErrorKind.OWNER_UNREACHABLE
-                    || kind == ErrorKind.DRAINING
-                    || kind == ErrorKind.NOT_CONFIGURED;
-            if (notTaken) {
+            if (NOT_TAKEN.contains(kind)) {
+                refusal = Optional.of(outcome.getLeft().failure());
                 next();
             } else if (mayHaveRun && kind.execution() == Execution.NOT_RUN) {
                 fail(outcome.getLeft().failure());
--- a/lavenderwick-standins/src/main/java/org/lavenderwick/standins/StandinExchange.java
+++ b/lavenderwick-standins/src/main/java/org/lavenderwick/standins/StandinExchange.java
@@ -23,6 +23,9 @@
 /** One HTTP request at a stand-in, with the ways in which its answer can go wrong. At most one ending takes effect. */
 final class StandinExchange {
 
+    /** Puts a second answer behind the one that the client has read. */
+    private static final Duration SECOND_ANSWER_DELAY = Duration.ofMillis(20);
+
     /** The socket of a request without answer is given back after this time, as clients have long given up. */
     private static final Duration SILENT_SOCKET_EXPIRY = Duration.ofMinutes(2);
 
@@ -92,17 +95,22 @@
         response.write(true, ByteBuffer.wrap(bytes), callback);
     }
 
-    /** Sends two answers in a row, then drops what arrives until the client closes the connection. */
+    /** Sends two answers, then drops what arrives until the client closes the connection. */
     void answerTwice(Object first, Object second) {
         if (!ended.compareAndSet(false, true)) {
             return;
         }
-        // One write: the server would write the answer to a further request at the same time as a second one.
         EndPoint endPoint = connection().getEndPoint();
+        ByteBuffer later = rawAnswer(json(second));
         endPoint.write(
-                Callback.from(() -> awaitClose(endPoint), failure -> endPoint.close()),
-                rawAnswer(json(first)),
-                rawAnswer(json(second)));
+                Callback.from(
+                        () -> {
+                            awaitClose(endPoint);
+                            // An answer in the same segment as the first one is discarded by the HTTP client.
+                            runtime.schedule(() -> endPoint.write(Callback.NOOP, later), SECOND_ANSWER_DELAY);
+                        },
+                        failure -> endPoint.close()),
+                rawAnswer(json(first)));
     }
 
     /** Sends the head and the first half of an answer, then closes the connection. */
