--- /dev/null
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/group/PrimaryViewTest.java
@@ -0,0 +1,77 @@
+package org.lavenderwick.daemon.group;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+import org.lavenderwick.adapters.endpoint.EndpointStatus;
+import org.lavenderwick.core.model.EndpointName;
+import org.lavenderwick.core.model.LogPoint;
+import org.lavenderwick.core.model.Term;
+import org.lavenderwick.core.promotion.GroupRecord;
+import org.lavenderwick.core.promotion.GroupState;
+import org.lavenderwick.core.promotion.TermStart;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class PrimaryViewTest {
+    private static final EndpointName OLD = EndpointName.of("old");
+    private static final EndpointName NEW = EndpointName.of("new");
+    private static final Duration NOW = Duration.ofSeconds(1);
+
+    private final PrimaryView view = new PrimaryView();
+
+    private static GroupRecord record(long term, EndpointName primary, GroupState state) {
+        return new GroupRecord(
+                Term.of(term),
+                primary,
+                state,
+                List.of(new TermStart(Term.of(term), 0)),
+                0,
+                "op-" + term + state,
+                false,
+                Optional.empty());
+    }
+
+    private static EndpointStatus status(EndpointName endpoint, long term, long promised, boolean primary) {
+        return new EndpointStatus(
+                endpoint, primary, Term.of(term), Term.of(promised), LogPoint.of(term, 1), Instant.EPOCH, 0);
+    }
+
+    @Test
+    void anOlderTermNeverReplacesANewerOne() {
+        view.recordSeen(record(2, NEW, GroupState.OPEN), NOW);
+        assertThat(view.recordSeen(record(1, OLD, GroupState.OPEN), NOW)).isFalse();
+        assertThat(view.statusSeen(status(OLD, 1, 1, true), NOW)).isFalse();
+        assertThat(view.primary()).contains(NEW);
+        assertThat(view.term()).isEqualTo(Term.of(2));
+    }
+
+    @Test
+    void aCandidateIsNotThePrimaryUntilItsTermIsOpenOrItSaysSo() {
+        view.recordSeen(record(1, OLD, GroupState.OPEN), NOW);
+        assertThat(view.recordSeen(record(2, NEW, GroupState.PROMOTING), NOW)).isFalse();
+        assertThat(view.primary()).contains(OLD);
+        assertThat(view.statusSeen(status(NEW, 2, 2, true), NOW)).isTrue();
+        assertThat(view.primary()).contains(NEW);
+    }
+
+    @Test
+    void aSealedEndpointIsNotTakenForAPrimary() {
+        assertThat(view.statusSeen(status(OLD, 1, 2, true), NOW)).isFalse();
+        assertThat(view.primary()).isEmpty();
+    }
+
+    @Test
+    void aRefusalHoldsWorkBackFromThatTermOnly() {
+        view.recordSeen(record(2, NEW, GroupState.OPEN), NOW);
+        view.hold(Term.of(1), NOW.plusSeconds(9));
+        assertThat(view.usable(NOW)).isTrue();
+        view.hold(Term.of(2), NOW.plusSeconds(9));
+        assertThat(view.usable(NOW)).isFalse();
+        view.recordSeen(record(3, OLD, GroupState.OPEN), NOW);
+        assertThat(view.usable(NOW)).isTrue();
+    }
+}
