Close the peer server only when its connections are closed

PeerServer.close returned before the selector threads had closed the connections, so a client could still take one for usable and lose its call, as PeerClientTest.aPooledConnectionThatThePeerClosedIsNotUsed saw once.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/peer/PeerServer.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/peer/PeerServer.java
@@ -35,11 +35,13 @@
 
     private final TThreadedSelectorServer server;
     private final ExecutorService workers;
+    private final Thread acceptor;
     private final int port;
 
-    private PeerServer(TThreadedSelectorServer server, ExecutorService workers, int port) {
+    private PeerServer(TThreadedSelectorServer server, ExecutorService workers, Thread acceptor, int port) {
         this.server = server;
         this.workers = workers;
+        this.acceptor = acceptor;
         this.port = port;
     }
 
@@ -59,7 +61,7 @@
         TThreadedSelectorServer server = new TThreadedSelectorServer(args);
         Thread acceptor = threads("peer-server-%d").newThread(server::serve);
         acceptor.start();
-        return new PeerServer(server, workers, socket.getPort());
+        return new PeerServer(server, workers, acceptor, socket.getPort());
     }
 
     /** Returns the port on which the server listens. */
@@ -73,6 +75,8 @@
         workers.shutdown();
         try {
             workers.awaitTermination(STOP_SECONDS, TimeUnit.SECONDS);
+            // The server thread ends when all connections are closed, so that peers learn of the end now.
+            acceptor.join(TimeUnit.SECONDS.toMillis(STOP_SECONDS));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
