Hold back raised connection shares until other owners know the seat table

While two owners know different seat tables, both may take themselves for the lead, and their shares of an endpoint then sum past its limit. GuardedShare of the core prevents that, but the daemon did not use it. A new owner whose share is not usable yet refuses as not run, so the entry daemon turns to the next owner, which serves with the share that it has. Ruled out: no wait for the first table, since a joining daemon is the common case of two leads.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/Daemon.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/Daemon.java
@@ -228,6 +228,7 @@
                 endpoints,
                 settings.timeouts().endpoint(),
                 settings.timeouts().connect(),
+                options.shareRaiseWait(),
                 records,
                 options.policies(),
                 InstantSource.system(),
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/EndpointLink.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/EndpointLink.java
@@ -170,6 +170,7 @@
     /** Changes the share of the connections. */
     void resize(int share) {
         pool.resize(share).forEach(this::closeConnection);
+        serveWaiters();
     }
 
     /** Closes connections that have been idle too long. */
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/GroupEnvironment.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/GroupEnvironment.java
@@ -12,6 +12,7 @@
  * @param endpoints opens connections to endpoints
  * @param callTimeout how long a call to an endpoint that cannot be repeated may take
  * @param connectTimeout how long it may take to open a connection
+ * @param shareRaiseWait how long a raised connection share stays unused; longer than a seat table takes to all owners
  * @param records the group records on the platform
  * @param policies the policies
  * @param wallClock wall time
@@ -23,6 +24,7 @@
         EndpointPort endpoints,
         Duration callTimeout,
         Duration connectTimeout,
+        Duration shareRaiseWait,
         GroupRecords records,
         Policies policies,
         InstantSource wallClock,
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/GroupExecutor.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/GroupExecutor.java
@@ -227,6 +227,8 @@
             transactions.step(pending);
         } else if (queue.closed()) {
             pending.fail(WorkFailure.of(ErrorKind.OWNER_UNREACHABLE, "The daemon does not own the group any more."));
+        } else if (!targets.usable()) {
+            pending.fail(WorkFailure.of(ErrorKind.OWNER_UNREACHABLE, "A former owner still holds the connections."));
         } else {
             Optional<RankSettings> rank = work.rank().flatMap(placement.service()::rank);
             if (rank.isEmpty()) {
--- /dev/null
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/ShareGuards.java
@@ -0,0 +1,30 @@
+package org.lavenderwick.daemon.group;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+
+import org.lavenderwick.core.configuration.EndpointSettings;
+import org.lavenderwick.core.connections.GuardedShare;
+import org.lavenderwick.core.model.EndpointName;
+
+/**
+ * The connection shares of an owner, endpoint by endpoint, with raises held back while other owners may still use an
+ * older seat table. Shares are kept by the name of the endpoint, so that changed settings do not start a wait. Confined
+ * to the event loop of the group.
+ */
+final class ShareGuards {
+    private final Duration raiseWait;
+    private final Map<EndpointName, GuardedShare> shares = new HashMap<>();
+
+    ShareGuards(Duration raiseWait) {
+        this.raiseWait = raiseWait;
+    }
+
+    /** Records the share by the newest seat table and returns the one that holds now. */
+    int share(GroupPlacement placement, EndpointSettings endpoint, Duration now) {
+        GuardedShare guard = shares.computeIfAbsent(endpoint.name(), name -> GuardedShare.create(raiseWait));
+        guard.update(placement.share(endpoint), now);
+        return guard.current(now);
+    }
+}
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/TargetSet.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/TargetSet.java
@@ -17,11 +17,13 @@
     private final GroupEnvironment environment;
     private final GroupContext context;
     private final LinkEvents events;
+    private final ShareGuards shares;
 
     TargetSet(GroupEnvironment environment, GroupContext context, LinkEvents events) {
         this.environment = environment;
         this.context = context;
         this.events = events;
+        this.shares = new ShareGuards(environment.shareRaiseWait());
     }
 
     /** Adds, replaces and removes endpoints and sets their connection shares. */
@@ -39,7 +41,7 @@
             context.removeTarget(name);
         });
         for (EndpointSettings endpoint : placement.group().endpoints()) {
-            int share = placement.share(endpoint);
+            int share = shares.share(placement, endpoint, context.loop().now());
             Optional<Target> known = context.target(endpoint.name());
             if (known.isPresent()) {
                 known.get().resize(share);
@@ -54,11 +56,22 @@
     void upkeep(GroupPlacement placement) {
         markLeaving(placement);
         context.targets().forEach(target -> {
+            int share = shares.share(
+                    placement, target.link().settings(), context.loop().now());
+            if (share != target.link().pool().share()) {
+                target.resize(share);
+            }
             target.link().shrink();
             target.link().replenish();
         });
     }
 
+    /** Returns whether this owner may open connections; a new owner first leaves them to the former ones. */
+    boolean usable() {
+        return context.targets().stream()
+                .anyMatch(target -> target.link().pool().share() > 0);
+    }
+
     /** Asks an endpoint for its status, which comes back as an event. */
     void askStatus(EndpointName endpoint) {
         context.target(endpoint)
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/TestCluster.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/TestCluster.java
@@ -56,12 +56,14 @@
     private final List<Daemon> daemons = new ArrayList<>();
     private final Map<Daemon, LinkRelay> relays = new IdentityHashMap<>();
     private final StandinFleet fleet;
+    private final DaemonOptions options;
     private final HttpClient client = HttpClient.newBuilder()
             .version(HttpClient.Version.HTTP_1_1)
             .connectTimeout(Duration.ofSeconds(5))
             .build();
 
-    private TestCluster() {
+    private TestCluster(DaemonOptions options) {
+        this.options = options;
         ServiceName service = ServiceName.of("orders");
         List<RankSettings> ranks = List.of(
                 new RankSettings(RankName.of("urgent"), Duration.ofMillis(50), 10, 0.3),
@@ -84,7 +86,13 @@
 
     /** Starts stand-ins and the given number of daemons, placed in the failure domains in turn, and waits for all. */
     static TestCluster start(int daemonCount) throws Exception {
-        TestCluster cluster = new TestCluster();
+        // All daemons start with the cluster, so no former owner holds connections.
+        return start(daemonCount, DaemonOptions.standard().withShareRaiseWait(Duration.ZERO));
+    }
+
+    /** Starts a cluster whose daemons have the given options. */
+    static TestCluster start(int daemonCount, DaemonOptions options) throws Exception {
+        TestCluster cluster = new TestCluster(options);
         for (int i = 0; i < daemonCount; i++) {
             cluster.addDaemon(i);
         }
@@ -116,7 +124,7 @@
                 100_000,
                 LogFormat.TEXT,
                 Timeouts.DEFAULTS);
-        Daemon daemon = Daemon.start(settings, DaemonOptions.standard().withAdvertisedPeerAddress(relay.address()));
+        Daemon daemon = Daemon.start(settings, options.withAdvertisedPeerAddress(relay.address()));
         daemons.add(daemon);
         relays.put(daemon, relay);
         fleet.platform()
