--- a/lavenderwick-standins/src/test/java/org/lavenderwick/standins/HttpEndpointPortTest.java
+++ b/lavenderwick-standins/src/test/java/org/lavenderwick/standins/HttpEndpointPortTest.java
@@ -61,21 +61,18 @@
 
         /** Guards against a late answer that is taken for the answer to the next request. */
         @Test
-        void strayAnswerIsNeverTakenForTheNextOne() throws Exception {
+        void strayAnswerIsNeverTakenForTheNextOne() {
             EndpointConnection connection = fleet.connect(FIRST);
             fleet.endpoint(FIRST).injectAnswerFault(AnswerFault.STRAY_AFTER, 1);
 
             Either<Failure, EndpointReply> first =
                     fleet.write("[{'op':'put','key':'a','value':1}]").on(connection);
             Either<Failure, EndpointReply> second =
-                    fleet.read("[{'op':'get','key':'a'}]").on(connection);
+                    await(fleet.read("[{'op':'get','key':'a'}]").start(connection, SHORT));
 
-            assertThat(first.get().results()).isPresent();
-            if (second.isRight()) {
-                assertThat(results(second)).isEqualTo("[{\"value\":1}]");
-            }
-            until(() -> !connection.open()
-                    || fleet.read("[{'op':'get','key':'a'}]").on(connection).isLeft());
+            assertThat(results(first)).isEqualTo("[{\"value\":1}]");
+            assertThat(second.isLeft()).isTrue();
+            assertThat(connection.open()).isFalse();
         }
 
         /** Guards against half an answer that passes for a whole one. */
@@ -171,6 +168,25 @@
             return opened.get(0);
         }
 
+        /** Guards against callers that wait for ever, and connections that stay, when the daemon stops. */
+        @Test
+        void closedPortEndsItsConnectionsAndCalls() throws Exception {
+            EndpointConnection busy = fleet.connect(FIRST);
+            EndpointConnection idle = fleet.connect(FIRST);
+            fleet.endpoint(FIRST).answerDelay(TestFleet.PATIENCE);
+            var running = fleet.write("[{'op':'put','key':'a','value':1}]").start(busy, TestFleet.PATIENCE);
+            until(() -> fleet.value(FIRST, "a").isPresent());
+
+            fleet.closePort();
+
+            assertThat(await(running).getLeft().kind()).isEqualTo(ErrorKind.OUTCOME_UNKNOWN);
+            assertThat(await(idle.status(TestFleet.PATIENCE)).getLeft().kind())
+                    .isEqualTo(ErrorKind.NO_ELIGIBLE_ENDPOINT);
+            assertThat(fleet.tryConnect(FIRST, TestFleet.PATIENCE).getLeft().kind())
+                    .isEqualTo(ErrorKind.NO_ELIGIBLE_ENDPOINT);
+            until(() -> fleet.endpoint(FIRST).connections() <= 1);
+        }
+
         /** Guards against two calls whose answers mix on one connection. */
         @Test
         void secondCallAtTheSameTimeDoesNotRun() {
