--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/promotion/TermEvidence.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/promotion/TermEvidence.java
@@ -163,19 +163,22 @@
         private final long platformAt;
         private final long[] promised;
         private final long[] votedAt;
+        /** What was known before the newest change, so that evidence for the term before keeps its full life. */
+        private final Former former;
 
-        private Snapshot(long term, int stage, long platformAt, long[] promised, long[] votedAt) {
+        private Snapshot(long term, int stage, long platformAt, long[] promised, long[] votedAt, Former former) {
             this.term = term;
             this.stage = stage;
             this.platformAt = platformAt;
             this.promised = promised;
             this.votedAt = votedAt;
+            this.former = former;
         }
 
         private static Snapshot empty(int size) {
             long[] votedAt = new long[size];
             Arrays.fill(votedAt, NEVER);
-            return new Snapshot(-1, 0, NEVER, new long[size], votedAt);
+            return new Snapshot(-1, 0, NEVER, new long[size], votedAt, new Former(-1, NEVER, new long[size], votedAt));
         }
 
         private Snapshot withPlatform(long newTerm, int newStage, long askedAt) {
@@ -184,7 +187,9 @@
                 return this;
             }
             long at = order == 0 ? Math.max(platformAt, askedAt) : askedAt;
-            return new Snapshot(newTerm, newStage, at, promised, votedAt);
+            boolean ends = stage == STAGE_OPEN && order > 0;
+            Former kept = ends ? new Former(term, platformAt, former.promised, former.votedAt) : former;
+            return new Snapshot(newTerm, newStage, at, promised, votedAt, kept);
         }
 
         /** Both maxima are sound: an answer with a lower promise is also a vote for every later term. */
@@ -193,11 +198,15 @@
             long[] newVotedAt = votedAt.clone();
             newPromised[index] = Math.max(promised[index], promisedTerm);
             newVotedAt[index] = Math.max(votedAt[index], askedAt);
-            return new Snapshot(term, stage, platformAt, newPromised, newVotedAt);
+            Former kept = promisedTerm > promised[index] ? former.withVote(index, this) : former;
+            return new Snapshot(term, stage, platformAt, newPromised, newVotedAt, kept);
         }
 
         private long platformQuestion(long wanted) {
-            return term == wanted && stage == STAGE_OPEN ? platformAt : NEVER;
+            if (term == wanted && stage == STAGE_OPEN) {
+                return platformAt;
+            }
+            return former.openTerm == wanted ? former.platformAt : NEVER;
         }
 
         private boolean platformIsPast(long wanted) {
@@ -208,10 +217,38 @@
         private long majorityQuestion(long wanted, int majority) {
             long[] times = new long[votedAt.length];
             for (int i = 0; i < times.length; i++) {
-                times[i] = promised[i] <= wanted ? votedAt[i] : NEVER;
+                long before = former.promised[i] <= wanted ? former.votedAt[i] : NEVER;
+                times[i] = promised[i] <= wanted ? votedAt[i] : before;
             }
             Arrays.sort(times);
             return times[times.length - majority];
         }
     }
+
+    /**
+     * The last knowledge before a promise rose or the record left the open state. An answer counts from its question,
+     * and the coordinator waits for its full life, so a later answer takes nothing from it: work in flight during a
+     * planned change of primary is acknowledged by it.
+     */
+    private static final class Former {
+        private final long openTerm;
+        private final long platformAt;
+        private final long[] promised;
+        private final long[] votedAt;
+
+        private Former(long openTerm, long platformAt, long[] promised, long[] votedAt) {
+            this.openTerm = openTerm;
+            this.platformAt = platformAt;
+            this.promised = promised;
+            this.votedAt = votedAt;
+        }
+
+        private Former withVote(int index, Snapshot before) {
+            long[] newPromised = promised.clone();
+            long[] newVotedAt = votedAt.clone();
+            newPromised[index] = before.promised[index];
+            newVotedAt[index] = before.votedAt[index];
+            return new Former(openTerm, platformAt, newPromised, newVotedAt);
+        }
+    }
 }
--- a/lavenderwick-scenarios/src/test/java/org/lavenderwick/scenarios/FaultSteps.java
+++ b/lavenderwick-scenarios/src/test/java/org/lavenderwick/scenarios/FaultSteps.java
@@ -157,6 +157,7 @@
     /** Ends the lead owner at once. */
     @When("the lead owner dies")
     public void killLead() throws InterruptedException {
+        world.daemonDied();
         cluster().local().kill(cluster().lead());
     }
 
