Add the demo and bench commands

Scripts and newcomers need one command that shows the guarantees over real sockets and one that measures policies under faults. The load is open-loop, latency counts from the intended time, and the history checker judges each run. StandinFleet.Options takes the host of the platform, so that the stand-ins can run in a process of their own.

--- a/lavenderwick-cli/src/main/java/org/lavenderwick/cli/Main.java
+++ b/lavenderwick-cli/src/main/java/org/lavenderwick/cli/Main.java
@@ -2,6 +2,9 @@
 
 import java.util.List;
 
+import org.lavenderwick.cli.bench.BenchCommand;
+import org.lavenderwick.cli.bench.DemoCommand;
+
 /** The program {@code lavenderwick}. */
 public final class Main {
 
@@ -24,6 +27,9 @@
                 new StatusCommand(),
                 new DrainCommand(),
                 new PromoteCommand(),
-                new AuditCommand());
+                new AuditCommand(),
+                new StandinsCommand(),
+                new DemoCommand(),
+                new BenchCommand());
     }
 }
--- /dev/null
+++ b/lavenderwick-cli/src/main/java/org/lavenderwick/cli/bench/RunRecord.java
@@ -0,0 +1,44 @@
+package org.lavenderwick.cli.bench;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.concurrent.ConcurrentLinkedQueue;
+
+import org.lavenderwick.standins.history.CallerOperation;
+
+/** Everything that callers saw in one run, with times from its origin on the system clock. Thread-safe. */
+final class RunRecord {
+    private final Instant origin;
+    private final ConcurrentLinkedQueue<CallerOperation> attempts = new ConcurrentLinkedQueue<>();
+    private final ConcurrentLinkedQueue<Outcome> outcomes = new ConcurrentLinkedQueue<>();
+
+    RunRecord(Instant origin) {
+        this.origin = origin;
+    }
+
+    Instant origin() {
+        return origin;
+    }
+
+    /** Returns the time since the origin. */
+    Duration now() {
+        return Duration.between(origin, Instant.now());
+    }
+
+    void attempted(CallerOperation attempt) {
+        attempts.add(attempt);
+    }
+
+    void ended(Outcome outcome) {
+        outcomes.add(outcome);
+    }
+
+    List<CallerOperation> attempts() {
+        return List.copyOf(attempts);
+    }
+
+    List<Outcome> outcomes() {
+        return List.copyOf(outcomes);
+    }
+}
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/Policies.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/Policies.java
@@ -64,4 +64,19 @@
                 service -> UnlimitedSpending.create(),
                 FixedSizing.create());
     }
+
+    /** Returns these policies with another routing of reads. */
+    public Policies withRouting(ReadRouting changed) {
+        return new Policies(queue, limit, changed, spending, sizing);
+    }
+
+    /** Returns these policies with another admission queue. */
+    public Policies withQueue(Function<ServiceSettings, AdmissionQueue> changed) {
+        return new Policies(changed, limit, routing, spending, sizing);
+    }
+
+    /** Returns these policies with another pool and its spending policy. */
+    public Policies withPool(PoolSizing changedSizing, Function<ServiceSettings, SpendingPolicy> changedSpending) {
+        return new Policies(queue, limit, routing, changedSpending, changedSizing);
+    }
 }
--- a/lavenderwick-standins/src/main/java/org/lavenderwick/standins/StandinFleet.java
+++ b/lavenderwick-standins/src/main/java/org/lavenderwick/standins/StandinFleet.java
@@ -51,7 +51,7 @@
         this.runtime = StandinRuntime.start();
         this.blocks = blocks(template);
         this.platform = PlatformServer.start(
-                runtime, PLATFORM_HOST, options.platformPort(), options.monotonicClock(), options.hostLag());
+                runtime, options.platformHost(), options.platformPort(), options.monotonicClock(), options.hostLag());
         Map<GroupName, GroupSettings> started = new LinkedHashMap<>();
         try {
             for (GroupSettings group : template.groups().values()) {
@@ -226,6 +226,7 @@
      * Choices for a fleet of stand-ins.
      *
      * @param endpoints timing of the endpoints
+     * @param platformHost IP address of the platform
      * @param platformPort port of the platform; 0 for any free one
      * @param hostLag time after which a change of the platform's list of hosts becomes visible
      * @param clock wall clock of the endpoints
@@ -234,6 +235,7 @@
      */
     public record Options(
             EndpointOptions endpoints,
+            String platformHost,
             int platformPort,
             Duration hostLag,
             InstantSource clock,
@@ -244,6 +246,7 @@
         public static Options standard() {
             return new Options(
                     EndpointOptions.DEFAULT,
+                    PLATFORM_HOST,
                     0,
                     Duration.ofSeconds(5),
                     InstantSource.system(),
@@ -253,22 +256,27 @@
 
         /** Returns these options with another timing of the endpoints. */
         public Options withEndpoints(EndpointOptions changed) {
-            return new Options(changed, platformPort, hostLag, clock, monotonicClock, history);
+            return new Options(changed, platformHost, platformPort, hostLag, clock, monotonicClock, history);
         }
 
         /** Returns these options with another receiver of events. */
         public Options withHistory(EndpointHistory changed) {
-            return new Options(endpoints, platformPort, hostLag, clock, monotonicClock, changed);
+            return new Options(endpoints, platformHost, platformPort, hostLag, clock, monotonicClock, changed);
         }
 
         /** Returns these options with another lag of the list of hosts. */
         public Options withHostLag(Duration changed) {
-            return new Options(endpoints, platformPort, changed, clock, monotonicClock, history);
+            return new Options(endpoints, platformHost, platformPort, changed, clock, monotonicClock, history);
         }
 
         /** Returns these options with another platform port. */
         public Options withPlatformPort(int changed) {
-            return new Options(endpoints, changed, hostLag, clock, monotonicClock, history);
+            return new Options(endpoints, platformHost, changed, hostLag, clock, monotonicClock, history);
+        }
+
+        /** Returns these options with another platform address. */
+        public Options withPlatformHost(String changed) {
+            return new Options(endpoints, changed, platformPort, hostLag, clock, monotonicClock, history);
         }
     }
 }
