Plot runs of the bench; keep arrivals apart from choices

Choices depend on answers, so that drawing them from the source of the gaps gave different arrivals for the same seed (1,206 and 1,202 requests of one rank). The delay of the load generator itself is reported, because on a busy machine a run says nothing about the policy.

--- a/lavenderwick-cli/src/main/java/org/lavenderwick/cli/bench/ArrivalStream.java
+++ b/lavenderwick-cli/src/main/java/org/lavenderwick/cli/bench/ArrivalStream.java
@@ -10,7 +10,10 @@
     private final double perSecond;
     private final boolean regular;
     private final String writer;
-    private final Random random;
+    /** Separate from the choices, which depend on answers, so that a seed always gives the same arrivals. */
+    private final Random gaps;
+
+    private final Random choices;
     private Duration next;
 
     private ArrivalStream(
@@ -26,7 +29,8 @@
         this.until = until;
         this.regular = regular;
         this.writer = writer;
-        this.random = new Random(seed);
+        this.gaps = new Random(seed);
+        this.choices = new Random(~seed);
         this.next = from.plus(gap());
     }
 
@@ -50,9 +54,9 @@
         return writer;
     }
 
-    /** Returns the source of the choices of this stream. */
-    Random random() {
-        return random;
+    /** Returns the source of choices such as keys and daemons. */
+    Random choices() {
+        return choices;
     }
 
     /** Returns whether another arrival comes. */
@@ -71,7 +75,7 @@
     }
 
     private Duration gap() {
-        double seconds = regular ? 1 / perSecond : -Math.log(1 - random.nextDouble()) / perSecond;
+        double seconds = regular ? 1 / perSecond : -Math.log(1 - gaps.nextDouble()) / perSecond;
         return Duration.ofNanos(Math.max(1, (long) (seconds * 1e9)));
     }
 }
--- a/lavenderwick-cli/src/main/java/org/lavenderwick/cli/bench/BenchCommand.java
+++ b/lavenderwick-cli/src/main/java/org/lavenderwick/cli/bench/BenchCommand.java
@@ -1,5 +1,7 @@
 package org.lavenderwick.cli.bench;
 
+import java.io.IOException;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
@@ -67,6 +69,15 @@
         RunPlan plan = new RunPlan(
                 chosen.get(), choice.get(), seed, scenarios.get(), Duration.ofSeconds(seconds), Duration.ZERO);
         RunCommand.Finished finished = RunCommand.run(plan, json, terminal);
+        if (report != null) {
+            try {
+                PlotReport.write(finished.result(), finished.report(), Path.of(report));
+            } catch (IOException e) {
+                return terminal.fail(
+                        "The report " + report + " cannot be written (" + e.getMessage() + ").",
+                        "Check that its directory exists and that you may write there.");
+            }
+        }
         return finished.code();
     }
 }
--- a/lavenderwick-cli/src/main/java/org/lavenderwick/cli/bench/BenchReport.java
+++ b/lavenderwick-cli/src/main/java/org/lavenderwick/cli/bench/BenchReport.java
@@ -19,6 +19,8 @@
  * @param ranks service by rank
  * @param worthServedRatio worth of requests served within target over the best that the slots allow
  * @param busiestMinute the most that the endpoints were used
+ * @param senderLagP99Ms 99th percentile of the time by which the load generator sent late; a large one means that the
+ *     machine was too busy for the run to count
  * @param refusals refusals and failures by kind
  * @param violations broken guarantees
  */
@@ -35,6 +37,7 @@
         List<RankReport> ranks,
         double worthServedRatio,
         BusiestMinute busiestMinute,
+        double senderLagP99Ms,
         List<RefusalCount> refusals,
         Violations violations) {
 
--- a/lavenderwick-cli/src/main/java/org/lavenderwick/cli/bench/BenchRun.java
+++ b/lavenderwick-cli/src/main/java/org/lavenderwick/cli/bench/BenchRun.java
@@ -85,7 +85,7 @@
                         .toList(),
                 history.writes(),
                 history.openings((group, term) -> plan.has(Scenario.LEAVING) && !plan.has(Scenario.FAILOVER)));
-        return new RunResult(plan, origin, record.outcomes(), seen, sampler);
+        return new RunResult(plan, origin, record.outcomes(), seen, sampler, record.senderLagMillis());
     }
 
     /** Delays the links between daemons of different failure domains. The stand-ins do not delay other links. */
--- a/lavenderwick-cli/src/main/java/org/lavenderwick/cli/bench/LoadGenerator.java
+++ b/lavenderwick-cli/src/main/java/org/lavenderwick/cli/bench/LoadGenerator.java
@@ -75,7 +75,7 @@
     }
 
     private void start(ArrivalStream stream) {
-        Random random = stream.random();
+        Random random = stream.choices();
         CallerSession session = idle.get(stream).poll();
         if (session == null) {
             session = new CallerSession("s" + sessions, random.nextInt(daemons.size()));
@@ -95,6 +95,7 @@
                 session.lastWrite(),
                 stream.next());
         underWay.incrementAndGet();
+        record.started(record.now().minus(stream.next()));
         attempt(stream, operation, 1);
     }
 
--- a/lavenderwick-cli/src/main/java/org/lavenderwick/cli/bench/Measures.java
+++ b/lavenderwick-cli/src/main/java/org/lavenderwick/cli/bench/Measures.java
@@ -60,6 +60,7 @@
                 measures.ranks(),
                 measures.worthServedRatio(),
                 new BusiestMinute(result.sampler().mostConnections(), measures.busiestMinuteLoad()),
+                result.senderLagMillis(),
                 measures.refusals(),
                 violations(violations));
     }
--- a/lavenderwick-cli/src/main/java/org/lavenderwick/cli/bench/ReportTable.java
+++ b/lavenderwick-cli/src/main/java/org/lavenderwick/cli/bench/ReportTable.java
@@ -44,6 +44,7 @@
         lines.add(format(
                 "busiest minute: %d connections, %d statements",
                 report.busiestMinute().connections(), report.busiestMinute().load()));
+        lines.add(format("sent late by the load generator: p99 %.1f ms", report.senderLagP99Ms()));
         lines.add(format("violations: %d", report.violations().total()));
         return lines;
     }
--- a/lavenderwick-cli/src/main/java/org/lavenderwick/cli/bench/RunResult.java
+++ b/lavenderwick-cli/src/main/java/org/lavenderwick/cli/bench/RunResult.java
@@ -16,8 +16,15 @@
  * @param outcomes ends of the logical requests
  * @param history attempts of callers and commits of endpoints, with times since the epoch
  * @param sampler states of the endpoints during the run
+ * @param senderLagMillis 99th percentile of the delay of the load generator itself
  */
-record RunResult(RunPlan plan, Instant origin, List<Outcome> outcomes, History history, ClusterSampler sampler) {
+record RunResult(
+        RunPlan plan,
+        Instant origin,
+        List<Outcome> outcomes,
+        History history,
+        ClusterSampler sampler,
+        double senderLagMillis) {
 
     /** Copies the list. */
     RunResult {
