Tell answers from the record of a key from late acknowledgements

The checker reported a late acknowledgement when a later primary answered the repeat of a write from its record of the key, since the commit carries the earlier term. Caller operations now name the endpoint that answered. An answer of the committing endpoint after its term was replaced, or of a dropped commit, is reported as before; three tests cover the three cases, and operations without an endpoint are judged as strictly as before.

--- a/lavenderwick-cli/src/main/java/org/lavenderwick/cli/bench/LoadGenerator.java
+++ b/lavenderwick-cli/src/main/java/org/lavenderwick/cli/bench/LoadGenerator.java
@@ -117,7 +117,8 @@
                 operation.write() ? operation.value() : reply.value(),
                 reply.result(),
                 sentAt,
-                now));
+                now,
+                reply.endpoint()));
         session.answered(operation.write(), operation.key(), operation.value(), reply);
         if (operation.write() && reply.result() == OperationResult.UNKNOWN && number < MAX_ATTEMPTS) {
             session.moveTo((session.daemon() + 1) % daemons.size());
--- a/lavenderwick-cli/src/main/java/org/lavenderwick/cli/bench/Reply.java
+++ b/lavenderwick-cli/src/main/java/org/lavenderwick/cli/bench/Reply.java
@@ -5,6 +5,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import org.lavenderwick.core.model.EndpointName;
 import org.lavenderwick.standins.history.OperationResult;
 
 /**
@@ -13,16 +14,24 @@
  * @param result whether it ran
  * @param value value of the first result, empty if the key has none
  * @param session token that replaces the one of the session
+ * @param endpoint the endpoint that ran it
  * @param atPrimary whether the primary ran it
  * @param kind kind of a refusal or failure, {@code no answer} if none came
  */
-record Reply(OperationResult result, Optional<String> value, Optional<String> session, boolean atPrimary, String kind) {
+record Reply(
+        OperationResult result,
+        Optional<String> value,
+        Optional<String> session,
+        Optional<EndpointName> endpoint,
+        boolean atPrimary,
+        String kind) {
     private static final int OK = 200;
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     /** Returns the reply for a request without an answer. */
     static Reply none() {
-        return new Reply(OperationResult.UNKNOWN, Optional.empty(), Optional.empty(), false, "no answer");
+        return new Reply(
+                OperationResult.UNKNOWN, Optional.empty(), Optional.empty(), Optional.empty(), false, "no answer");
     }
 
     /** Returns the reply that an answer of a daemon holds. */
@@ -37,10 +46,12 @@
         if (status == OK) {
             Optional<String> value = text(root.path("results").path(0).path("value"));
             boolean primary = root.path("primary").asBoolean();
-            return new Reply(OperationResult.ACKNOWLEDGED, value, session, primary, "");
+            Optional<EndpointName> endpoint = text(root.path("endpoint")).map(EndpointName::of);
+            return new Reply(OperationResult.ACKNOWLEDGED, value, session, endpoint, primary, "");
         }
         String kind = root.path("kind").asText();
-        return new Reply(result(kind, root.path("ran").asText()), Optional.empty(), session, false, kind);
+        return new Reply(
+                result(kind, root.path("ran").asText()), Optional.empty(), session, Optional.empty(), false, kind);
     }
 
     private static OperationResult result(String kind, String ran) {
--- a/lavenderwick-cli/src/main/java/org/lavenderwick/cli/bench/RunResult.java
+++ b/lavenderwick-cli/src/main/java/org/lavenderwick/cli/bench/RunResult.java
@@ -49,6 +49,7 @@
                 attempt.value(),
                 attempt.result(),
                 attempt.invokedAt().plus(offset),
-                attempt.returnedAt().plus(offset));
+                attempt.returnedAt().plus(offset),
+                attempt.answeredBy());
     }
 }
--- a/lavenderwick-standins/src/main/java/org/lavenderwick/standins/history/CallerOperation.java
+++ b/lavenderwick-standins/src/main/java/org/lavenderwick/standins/history/CallerOperation.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 
+import org.lavenderwick.core.model.EndpointName;
 import org.lavenderwick.core.model.GroupName;
 
 /**
@@ -17,6 +18,7 @@
  * @param result what the caller was told
  * @param invokedAt time at which the caller sent it
  * @param returnedAt time at which the answer came
+ * @param answeredBy the endpoint that the answer names; empty if there is none or it is not known
  */
 public record CallerOperation(
         String session,
@@ -26,4 +28,19 @@
         Optional<String> value,
         OperationResult result,
         Duration invokedAt,
-        Duration returnedAt) {}
+        Duration returnedAt,
+        Optional<EndpointName> answeredBy) {
+
+    /** Creates an operation whose answering endpoint is not known. */
+    public CallerOperation(
+            String session,
+            GroupName group,
+            boolean write,
+            String key,
+            Optional<String> value,
+            OperationResult result,
+            Duration invokedAt,
+            Duration returnedAt) {
+        this(session, group, write, key, value, result, invokedAt, returnedAt, Optional.empty());
+    }
+}
--- a/lavenderwick-standins/src/main/java/org/lavenderwick/standins/history/HistoryChecker.java
+++ b/lavenderwick-standins/src/main/java/org/lavenderwick/standins/history/HistoryChecker.java
@@ -166,7 +166,7 @@
                 .map(TermOpening::at)
                 .min(Comparator.naturalOrder())
                 .orElse(null);
-        if (replacedAt != null && write.returnedAt().compareTo(replacedAt) > 0) {
+        if (replacedAt != null && write.returnedAt().compareTo(replacedAt) > 0 && !answeredFromRecord(write, point)) {
             report(Kind.LATE_ACKNOWLEDGEMENT, write, "its term was replaced at " + replacedAt);
         }
         droppedBy(write.group(), point)
@@ -174,6 +174,20 @@
                 .ifPresent(opening -> report(Kind.LOST_IN_SWITCHOVER, write, "dropped by " + opening));
     }
 
+    /**
+     * Returns whether another endpoint than those that committed the write answered a repeat of it from its record of
+     * the key, and the commit had not been dropped by then. Only a later primary can do so.
+     */
+    private boolean answeredFromRecord(CallerOperation write, LogPoint point) {
+        boolean byCommitter = writesByValue.get(write.value().orElseThrow()).stream()
+                .anyMatch(commit -> write.answeredBy().equals(Optional.of(commit.endpoint())));
+        boolean droppedBefore = openings.get(write.group()).stream()
+                .anyMatch(opening -> opening.term().isAfter(point.term())
+                        && opening.startPosition() < point.position()
+                        && opening.at().compareTo(write.returnedAt()) <= 0);
+        return write.answeredBy().isPresent() && !byCommitter && !droppedBefore;
+    }
+
     private void report(Kind kind, CallerOperation operation, String reason) {
         violations.add(new Violation(kind, reason + ": " + operation));
     }
--- a/lavenderwick-standins/src/test/java/org/lavenderwick/standins/history/HistoryCheckerTest.java
+++ b/lavenderwick-standins/src/test/java/org/lavenderwick/standins/history/HistoryCheckerTest.java
@@ -126,6 +126,34 @@
             assertThat(kinds()).containsExactly(Kind.LATE_ACKNOWLEDGEMENT);
         }
 
+        /** Guards against taking the record of a key for an acknowledgement by the replaced primary. */
+        @Test
+        void repeatThatALaterPrimaryAnswersFromItsRecord() {
+            committed("a", 1, 1);
+            opened(2, 1, false, 5);
+            operations.add(answeredBy("lids-2", "a", 6));
+
+            assertThat(kinds()).isEmpty();
+        }
+
+        @Test
+        void repeatThatTheReplacedPrimaryAnswers() {
+            committed("a", 1, 1);
+            opened(2, 1, false, 5);
+            operations.add(answeredBy("lids-1", "a", 6));
+
+            assertThat(kinds()).containsExactly(Kind.LATE_ACKNOWLEDGEMENT);
+        }
+
+        @Test
+        void repeatThatALaterPrimaryAnswersThoughItDroppedTheWrite() {
+            committed("a", 1, 2);
+            opened(2, 1, false, 5);
+            operations.add(answeredBy("lids-2", "a", 6));
+
+            assertThat(kinds()).containsExactly(Kind.LATE_ACKNOWLEDGEMENT);
+        }
+
         @Test
         void switchoverThatDropsAnAcknowledgedWrite() {
             committed("a", 1, 2);
@@ -155,6 +183,19 @@
         operations.add(operation(true, value, result, from, until));
     }
 
+    private static CallerOperation answeredBy(String endpoint, String value, long second) {
+        return new CallerOperation(
+                "session",
+                GROUP,
+                true,
+                "key",
+                Optional.of(value),
+                OperationResult.ACKNOWLEDGED,
+                Duration.ofSeconds(second),
+                Duration.ofSeconds(second),
+                Optional.of(EndpointName.of(endpoint)));
+    }
+
     private void read(String value, long second) {
         operations.add(operation(false, value, OperationResult.ACKNOWLEDGED, second, second));
     }
