Wait in LocalCluster until each group has a lead with a usable share

Owners refuse work for 5 s after a raise of their share, so a load that starts earlier only measures that wait.

--- a/lavenderwick-cli/src/main/java/org/lavenderwick/cli/cluster/LocalCluster.java
+++ b/lavenderwick-cli/src/main/java/org/lavenderwick/cli/cluster/LocalCluster.java
@@ -117,7 +117,7 @@
         return daemon;
     }
 
-    /** Waits until all daemons are ready and know the given number of seats. */
+    /** Waits until all daemons are ready, know the given number of seats, and each group has a lead that may serve it. */
     public void awaitReady(int seats) throws InterruptedException {
         await(
                 "ready daemons",
@@ -126,6 +126,19 @@
                         .map(Daemon::status)
                         .allMatch(status ->
                                 status.ready() && status.seat().isPresent() && status.seatTableVersion() >= seats));
+        await(
+                "owners with usable connection shares",
+                Duration.ofSeconds(40),
+                () -> fleet.configuration().groups().keySet().stream().allMatch(this::isServed));
+    }
+
+    private boolean isServed(GroupName group) {
+        return lead(group)
+                .flatMap(daemon -> daemon.status().groups().stream()
+                        .filter(report -> report.group().equals(group))
+                        .findFirst())
+                .filter(report -> report.endpoints().stream().allMatch(endpoint -> endpoint.share() > 0))
+                .isPresent();
     }
 
     /** Stops a daemon without a drain: its connections break, as when its process dies. */
