--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/connections/GuardedShare.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/connections/GuardedShare.java
@@ -20,7 +20,7 @@
 
     private final Duration raiseWait;
 
-    /** The shares in force within the last wait, oldest first, without those followed by a lower or equal one. */
+    /** The shares in force within the last wait, oldest first, without those followed by a lower one. */
     private final Deque<Change> recent = new ArrayDeque<>();
 
     private GuardedShare(Duration raiseWait) {
@@ -43,10 +43,13 @@
     public void update(int share, Duration now) {
         checkArgument(share >= 0, "share is negative: %s", share);
         expire(now);
-        while (!recent.isEmpty() && recent.peekLast().share() >= share) {
+        while (!recent.isEmpty() && recent.peekLast().share() > share) {
             recent.removeLast();
         }
-        recent.addLast(new Change(now, share));
+        // An unchanged share keeps its time, else updates within the wait would hold a raise back for ever.
+        if (recent.isEmpty() || recent.peekLast().share() < share) {
+            recent.addLast(new Change(now, share));
+        }
     }
 
     /** Returns the share that holds now: the lowest one in force within the wait. */
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/connections/ConnectionSharesTest.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/connections/ConnectionSharesTest.java
@@ -97,6 +97,16 @@
     }
 
     /** Guards against a guard that never lets a share rise, or that delays a reduction. */
+    /** Upkeep updates the share every second; a raise must not wait for a time without updates. */
+    @Test
+    void updatesWithoutAChangeDoNotHoldARaiseBack() {
+        GuardedShare guard = GuardedShare.create(Duration.ofSeconds(3));
+        for (int second = 10; second <= 13; second++) {
+            guard.update(12, Duration.ofSeconds(second));
+        }
+        assertThat(guard.current(Duration.ofSeconds(13))).isEqualTo(12);
+    }
+
     @Test
     void aRaiseWaitsAndAReductionDoesNot() {
         GuardedShare guard = GuardedShare.create(Duration.ofSeconds(3));
