--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/promotion/TermEvidenceTest.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/promotion/TermEvidenceTest.java
@@ -63,6 +63,27 @@
             assertThat(evidence.mayAcknowledge(T.next(), ms(200))).isTrue();
         }
 
+        /** Guards against work that a planned change of primary cuts off because a seal ends valid evidence early. */
+        @Test
+        void beforeASealCountForTheirFullLifeAndNoLonger() {
+            evidence.recordVote(E1, T, ms(100));
+            evidence.recordVote(E2, T, ms(200));
+            evidence.recordVote(E1, T.next(), ms(400));
+            evidence.recordVote(E2, T.next(), ms(400));
+            evidence.recordVote(E3, T.next(), ms(400));
+            assertThat(evidence.mayAcknowledge(T, ms(1_600))).isTrue();
+            assertThat(evidence.mayAcknowledge(T, ms(1_601))).isFalse();
+        }
+
+        /** Guards against the same with the platform as the source, and against a life that the end renews. */
+        @Test
+        void ofThePlatformBeforeTheRecordClosesCountForTheirFullLifeAndNoLonger() {
+            evidence.recordPlatform(record(T, GroupState.OPEN), ms(100));
+            evidence.recordPlatform(record(T, GroupState.CLOSING), ms(400));
+            assertThat(evidence.mayAcknowledge(T, ms(1_600))).isTrue();
+            assertThat(evidence.mayAcknowledge(T, ms(1_601))).isFalse();
+        }
+
         /** Guards against evidence that a late answer to an old question shortens. */
         @Test
         void keepTheNewestQuestion() {
