--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/StartPlanner.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/StartPlanner.java
@@ -6,8 +6,10 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.ToIntFunction;
 import java.util.random.RandomGenerator;
 
+import org.lavenderwick.adapters.endpoint.TransactionStep;
 import org.lavenderwick.core.admission.Access;
 import org.lavenderwick.core.admission.AdmissionQueue;
 import org.lavenderwick.core.admission.StartRule;
@@ -26,17 +28,43 @@
     /** Stands for a wait without end, as when no connection to the endpoint exists. */
     private static final Duration ENDLESS = Duration.ofDays(1);
 
+    /** Connections to the primary that no open transaction may hold. */
+    private static final int KEPT_CONNECTIONS = 2;
+
+    /** Time until a connection that is opened now can be used; an open takes about 12 ms. */
+    private static final Duration OPEN_TIME = Duration.ofMillis(20);
+
     private final GroupContext state;
     private final ReadRouting routing;
     private final RandomGenerator random;
     private final InstantSource wallClock;
+    private final Runnable refreshReplicas;
+    private final ToIntFunction<Target> openTransactions;
     private final Map<Long, Plan> plans = new HashMap<>();
 
-    StartPlanner(GroupContext state, ReadRouting routing, RandomGenerator random, InstantSource wallClock) {
+    /**
+     * Creates a planner.
+     *
+     * @param state the state of the group
+     * @param routing chooses the endpoints of reads
+     * @param random source of the choices of routing
+     * @param wallClock wall time
+     * @param refreshReplicas asks replicas how far they are
+     * @param openTransactions number of open transactions that hold a connection of a target
+     */
+    StartPlanner(
+            GroupContext state,
+            ReadRouting routing,
+            RandomGenerator random,
+            InstantSource wallClock,
+            Runnable refreshReplicas,
+            ToIntFunction<Target> openTransactions) {
         this.state = state;
         this.routing = routing;
         this.random = random;
         this.wallClock = wallClock;
+        this.refreshReplicas = refreshReplicas;
+        this.openTransactions = openTransactions;
     }
 
     /**
@@ -65,6 +93,14 @@
 
     private Optional<Plan> planPrimary(Pending pending, WorkItem item) {
         PrimaryView view = state.primaryView();
+        boolean needsEvidence = pending.work().write() || pending.work().currentRead();
+        if (needsEvidence && !state.evidence().hopeful(view.term())) {
+            Failure unconfirmed = Failure.of(
+                    ErrorKind.TERM_UNCONFIRMED, "It cannot be shown that term " + view.term() + " is current.");
+            state.evidence().ask(view.term());
+            pending.obstacle(unconfirmed);
+            return state.evidence().isolated() ? Optional.of(refusal(item, unconfirmed)) : Optional.empty();
+        }
         Optional<Target> primary = view.primary().flatMap(state::target);
         if (primary.isEmpty()
                 || !view.usable(state.loop().now())
@@ -72,22 +108,25 @@
             pending.obstacle(Failure.of(ErrorKind.NO_PRIMARY, "The database group has no reachable primary."));
             return Optional.empty();
         }
-        boolean needsEvidence = pending.work().write() || pending.work().currentRead();
-        if (needsEvidence && !state.evidence().hopeful(view.term())) {
-            pending.obstacle(Failure.of(
-                    ErrorKind.TERM_UNCONFIRMED, "It cannot be shown that term " + view.term() + " is current."));
-            state.evidence().ask(view.term());
+        Target target = primary.get();
+        boolean begin = pending.work().step() == TransactionStep.BEGIN;
+        if (begin && openTransactions.applyAsInt(target) >= maxTransactions(target)) {
+            pending.obstacle(Failure.of(ErrorKind.QUEUE_FULL, "Too many transactions are open."));
             return Optional.empty();
         }
         pending.noObstacle();
-        Demand demand = demand(item, primary.get());
-        Target target = primary.get();
+        Demand demand = demand(item, target);
         boolean room = target.hasRoom(false) || (target.hasRoom(true) && mayOpen(target, demand));
         return room && state.usage().mayStart(demand)
                 ? Optional.of(new Plan(primary, Optional.empty(), demand))
                 : Optional.empty();
     }
 
+    /** Open transactions hold connections, so some are kept for other work. */
+    private static int maxTransactions(Target target) {
+        return Math.max(1, target.link().pool().trafficShare() - KEPT_CONNECTIONS);
+    }
+
     private Optional<Plan> planRead(Pending pending, WorkItem item) {
         Route route = route(pending, true);
         Optional<Target> target = chosen(route);
@@ -95,10 +134,14 @@
             route = route(pending, false);
             target = chosen(route);
         }
+        boolean atReplica = target.filter(chosen -> !state.primaryView().isPrimary(chosen.name()))
+                .isPresent();
+        if (!atReplica) {
+            refreshReplicas.run();
+        }
         if (route instanceof Route.Refuse refuse) {
             if (refuse.failure().kind() == ErrorKind.SESSION_WRITE_LOST) {
-                return Optional.of(new Plan(
-                        Optional.empty(), Optional.of(refuse.failure()), demand(item, Duration.ZERO, Duration.ZERO)));
+                return Optional.of(refusal(item, refuse.failure()));
             }
             pending.obstacle(refuse.failure());
             return Optional.empty();
@@ -113,6 +156,10 @@
                 : Optional.empty();
     }
 
+    private Plan refusal(WorkItem item, Failure failure) {
+        return new Plan(Optional.empty(), Optional.of(failure), demand(item, Duration.ZERO, Duration.ZERO));
+    }
+
     private Optional<Target> chosen(Route route) {
         return route instanceof Route.To to ? state.target(to.endpoint()) : Optional.empty();
     }
@@ -131,10 +178,26 @@
         return routing.choose(views, needs, random);
     }
 
-    /** An endpoint without any traffic connection gets one in any case, since its work would never start otherwise. */
+    /**
+     * An endpoint whose traffic connections are all held by transactions gets another one in any case, since the work
+     * would not start otherwise.
+     */
     private boolean mayOpen(Target target, Demand demand) {
-        return target.hasRoom(true)
-                && (target.link().trafficConnections() == 0 || state.usage().mayOpen(demand));
+        if (!target.hasRoom(true)) {
+            return false;
+        }
+        Demand withOpening = new Demand(
+                demand.rank(),
+                demand.statements(),
+                demand.untilDue(),
+                demand.expectedWait(),
+                demand.expectedService().plus(OPEN_TIME));
+        return sharedConnections(target) <= 0 || state.usage().mayOpen(withOpening);
+    }
+
+    /** Returns the number of traffic connections that no open transaction holds. */
+    private int sharedConnections(Target target) {
+        return target.link().trafficConnections() - openTransactions.applyAsInt(target);
     }
 
     private Demand demand(WorkItem item, Target target) {
