Cut control traffic and calls that exceed the target budget

The capacity harness showed four costs that grow past the budget at 720 daemons and 1,100 groups.

- Owners: hash each seat once a table and keep the answer per group.
- PeerExchange: send the seat table (62.8 KB at 720 seats) only after the peer stated its digest.
- PrimaryMonitor: probe replicas only when the primary has not answered for 50 ms.

The harness measures memory as what becomes free, counts audit appends and runs real daemons.

--- a/lavenderwick-benchmarks/src/main/java/org/lavenderwick/benchmarks/slopes/CallSlopes.java
+++ b/lavenderwick-benchmarks/src/main/java/org/lavenderwick/benchmarks/slopes/CallSlopes.java
@@ -37,8 +37,8 @@
  * those of calls and answers together without the headers of TCP and IP, the processor time that of both ends.
  */
 final class CallSlopes {
-    private static final int[] CALLS = {200, 400, 800};
-    private static final int WARM_UP_CALLS = 2_000;
+    private static final int[] CALLS = {1_000, 2_000, 4_000};
+    private static final int WARM_UP_CALLS = 8_000;
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
     private static final String LOOPBACK = "127.0.0.1";
     private static final double NANOS_PER_MICRO = 1e3;
--- a/lavenderwick-benchmarks/src/main/java/org/lavenderwick/benchmarks/slopes/ConnectionSlopes.java
+++ b/lavenderwick-benchmarks/src/main/java/org/lavenderwick/benchmarks/slopes/ConnectionSlopes.java
@@ -53,14 +53,20 @@
 
     private Series series(String name, int[] sizes, ToDoubleFunction<Integer> measured) {
         // The first run loads classes and fills pools; it does not count.
-        measured.applyAsDouble(sizes[0]);
+        freed(sizes[0], measured);
         List<Point> points = new ArrayList<>();
         for (int size : sizes) {
-            points.add(sampler.point(size, run -> measured.applyAsDouble(size)));
+            points.add(sampler.point(size, run -> freed(size, measured)));
         }
         return new Series(name, "bytes of memory", "connections", points);
     }
 
+    /** Returns the bytes that become free when the connections and their server are closed. */
+    private static double freed(int size, ToDoubleFunction<Integer> measured) {
+        double open = measured.applyAsDouble(size);
+        return open - Sampler.usedBytes();
+    }
+
     private static byte[] request() {
         String body = "{\"rank\":\"urgent\",\"access\":\"read\",\"deadlineMs\":2000,"
                 + "\"statements\":[{\"op\":\"get\",\"key\":\"order-1\"}]}";
@@ -77,12 +83,11 @@
                         Either.left(CallerRefusal.of(ErrorKind.NO_PRIMARY, "no primary"))),
                 MAX_BODY_BYTES,
                 TIMEOUT)) {
-            long before = Sampler.usedBytes();
             for (int i = 0; i < connections; i++) {
                 open.add(connect(server.port()));
                 ask(open.get(i));
             }
-            return Sampler.usedBytes() - before;
+            return Sampler.usedBytes();
         } catch (Exception e) {
             throw new IllegalStateException("the connections of callers failed", e);
         } finally {
@@ -95,12 +100,11 @@
         try (ServerSocketChannel server = ServerSocketChannel.open()) {
             server.bind(new InetSocketAddress("127.0.0.1", 0));
             int port = ((InetSocketAddress) server.getLocalAddress()).getPort();
-            long before = Sampler.usedBytes();
             for (int i = 0; i < connections; i++) {
                 open.add(connect(port));
                 open.add(server.accept());
             }
-            return Sampler.usedBytes() - before;
+            return Sampler.usedBytes();
         } catch (IOException e) {
             throw new IllegalStateException("the plain connections failed", e);
         } finally {
@@ -124,14 +128,13 @@
         ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
         try (PeerServer server = PeerServer.start(new InetSocketAddress("0.0.0.0", 0), handler);
                 PeerClient client = PeerClient.create(InetAddress.getByName("127.0.0.1"), timer)) {
-            long before = Sampler.usedBytes();
             for (int i = 0; i < connections; i++) {
                 String address = "127.1.%d.%d:%d".formatted(i / 250, i % 250 + 1, server.port());
                 if (client.exchange(address, Wire.request(null), TIMEOUT).join().isLeft()) {
                     throw new IllegalStateException("an exchange failed");
                 }
             }
-            return Sampler.usedBytes() - before;
+            return Sampler.usedBytes();
         } catch (Exception e) {
             throw new IllegalStateException("the connections between daemons failed", e);
         } finally {
--- a/lavenderwick-benchmarks/src/main/java/org/lavenderwick/benchmarks/slopes/DocumentSlopes.java
+++ b/lavenderwick-benchmarks/src/main/java/org/lavenderwick/benchmarks/slopes/DocumentSlopes.java
@@ -10,8 +10,11 @@
 import org.lavenderwick.core.configuration.Configuration;
 import org.lavenderwick.core.configuration.ConfigurationChanges;
 import org.lavenderwick.core.configuration.ConfigurationHistory;
+import org.lavenderwick.core.configuration.EndpointSettings;
+import org.lavenderwick.core.configuration.GroupSettings;
 import org.lavenderwick.core.membership.Owners;
 import org.lavenderwick.core.membership.SeatTable;
+import org.lavenderwick.core.model.FailureDomain;
 import org.lavenderwick.core.model.GroupName;
 import org.lavenderwick.core.model.LogPoint;
 import org.lavenderwick.core.session.SessionToken;
@@ -86,16 +89,27 @@
     List<Series> owners() {
         Configuration configuration = Fleet.configuration(TARGET_GROUPS, 1);
         List<Series> series = new ArrayList<>();
-        series.add(cpu("owners of one group", "daemons", DAEMONS, n -> {
+        series.add(cpu("owners of one group, first time", "daemons", DAEMONS, n -> {
             Owners owners = Owners.of(Fleet.seatTable(n, 1));
-            return () ->
-                    owners.ownersOf(configuration.groups().values().iterator().next());
+            GroupSettings group = configuration.groups().values().iterator().next();
+            List<FailureDomain> domains = group.endpoints().stream()
+                    .map(EndpointSettings::failureDomain)
+                    .toList();
+            return () -> owners.ownersOf(group.name(), domains);
         }));
-        series.add(cpu("owners of 1,100 groups", "daemons", DAEMONS, n -> {
+        series.add(cpu("owners of one group, as each request asks", "daemons", DAEMONS, n -> {
             Owners owners = Owners.of(Fleet.seatTable(n, 1));
-            return () -> configuration.groups().values().stream()
-                    .map(owners::ownersOf)
-                    .toList();
+            GroupSettings group = configuration.groups().values().iterator().next();
+            return () -> owners.ownersOf(group);
+        }));
+        series.add(cpu("owners of 1,100 groups under a new table", "daemons", DAEMONS, n -> {
+            SeatTable table = Fleet.seatTable(n, 1);
+            return () -> {
+                Owners owners = Owners.of(table);
+                return configuration.groups().values().stream()
+                        .map(owners::ownersOf)
+                        .toList();
+            };
         }));
         return series;
     }
--- a/lavenderwick-benchmarks/src/main/java/org/lavenderwick/benchmarks/slopes/GroupSlopes.java
+++ b/lavenderwick-benchmarks/src/main/java/org/lavenderwick/benchmarks/slopes/GroupSlopes.java
@@ -13,6 +13,7 @@
 import org.lavenderwick.adapters.endpoint.EndpointStatus;
 import org.lavenderwick.adapters.platform.CallBudget;
 import org.lavenderwick.adapters.platform.HttpPlatformPort;
+import org.lavenderwick.adapters.settings.Timeouts;
 import org.lavenderwick.core.configuration.Configuration;
 import org.lavenderwick.core.configuration.EndpointSettings;
 import org.lavenderwick.core.configuration.GroupSettings;
@@ -50,6 +51,7 @@
             memory.add(sampler.point(size, run -> {
                 double[] results = new double[2];
                 run(size, results);
+                results[0] -= Sampler.usedBytes();
                 idleRuns.add(results[1]);
                 return results[0];
             }));
@@ -68,6 +70,8 @@
                 "127.0.0.1:1", "127.0.0.1", Duration.ofSeconds(2), CallBudget.of(1, 1e-9, loop::now))) {
             GroupEnvironment environment = new GroupEnvironment(
                     new NoEndpoints(),
+                    Timeouts.DEFAULTS.endpoint(),
+                    Timeouts.DEFAULTS.connect(),
                     GroupRecords.on(platform),
                     Policies.standard(),
                     InstantSource.system(),
@@ -75,7 +79,6 @@
                     new NoTransactions(),
                     "capacity");
             List<Object> kept = new ArrayList<>();
-            long before = Sampler.usedBytes();
             for (GroupSettings group : configuration.groups().values()) {
                 GroupPlacement placement =
                         new GroupPlacement(group, configuration.services().get(group.service()), List.of(), 3, 0);
@@ -86,7 +89,7 @@
             CompletableFuture<Boolean> started = new CompletableFuture<>();
             loop.execute(() -> started.complete(true));
             started.join();
-            results[0] = Sampler.usedBytes() - before;
+            results[0] = Sampler.usedBytes();
             long cpu = CallSlopes.processNanos();
             Thread.sleep(IDLE_MILLIS);
             results[1] = (CallSlopes.processNanos() - cpu) / (double) IDLE_MILLIS;
--- a/lavenderwick-benchmarks/src/main/java/org/lavenderwick/benchmarks/slopes/Sampler.java
+++ b/lavenderwick-benchmarks/src/main/java/org/lavenderwick/benchmarks/slopes/Sampler.java
@@ -5,6 +5,7 @@
 import java.lang.management.ThreadMXBean;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.IntFunction;
 import java.util.function.Supplier;
 
@@ -16,6 +17,7 @@
     private static final long RUN_NANOS = 40_000_000;
 
     private static final int COLLECTIONS = 3;
+    private static final long COLLECTION_PAUSE_NANOS = 40_000_000;
     private static volatile Object sink;
 
     private final int runs;
@@ -59,6 +61,8 @@
     static long usedBytes() {
         for (int i = 0; i < COLLECTIONS; i++) {
             System.gc();
+            // Closed channels become free only after their cleaners have run between two collections.
+            LockSupport.parkNanos(COLLECTION_PAUSE_NANOS);
         }
         long direct = ManagementFactory.getPlatformMXBeans(BufferPoolMXBean.class).stream()
                 .mapToLong(BufferPoolMXBean::getMemoryUsed)
@@ -66,13 +70,11 @@
         return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed() + direct;
     }
 
-    /** Returns the bytes that the object made by the supplier keeps in use. */
+    /** Returns the bytes that become free when the object made by the supplier is dropped. */
     static double retainedBytes(Supplier<?> supplier) {
+        sink = supplier.get();
+        long with = usedBytes();
         sink = null;
-        long before = usedBytes();
-        Object made = supplier.get();
-        long after = usedBytes();
-        sink = made;
-        return after - before;
+        return with - usedBytes();
     }
 }
--- a/lavenderwick-benchmarks/src/main/java/org/lavenderwick/benchmarks/slopes/SeatSimulation.java
+++ b/lavenderwick-benchmarks/src/main/java/org/lavenderwick/benchmarks/slopes/SeatSimulation.java
@@ -32,6 +32,9 @@
 
     private static final double RATE = 20;
 
+    /** Shift of the index of a replacement; a multiple of the number of failure domains. */
+    private static final int REPLACEMENT = 100 * Fleet.DOMAINS * Fleet.DOMAINS;
+
     private static final Duration ONE_WAY = Duration.ofNanos(2_500_000);
     private static final Duration TIMEOUT = Duration.ofSeconds(2);
     private static final Duration TICK = Duration.ofSeconds(1);
@@ -60,9 +63,18 @@
 
     /** Starts a daemon at a time within the given spread. */
     void start(int index, Duration spread) {
-        Claimant claimant = new Claimant(index, new Random(random.nextLong()));
+        start(index, 0, spread);
+    }
+
+    /** Starts a daemon on a new host, under a new name, in the failure domain of the given daemon. */
+    void startReplacement(int index, Duration spread) {
+        start(index, REPLACEMENT, spread);
+    }
+
+    private void start(int index, int shift, Duration spread) {
+        Claimant claimant = new Claimant(index + shift, new Random(random.nextLong()));
         claimants.add(claimant);
-        live.add(Fleet.daemon(index));
+        live.add(Fleet.daemon(index + shift));
         time.after(Duration.ofNanos(random.nextLong(spread.toNanos())), claimant::start);
     }
 
--- a/lavenderwick-benchmarks/src/main/java/org/lavenderwick/benchmarks/slopes/SeatSlopes.java
+++ b/lavenderwick-benchmarks/src/main/java/org/lavenderwick/benchmarks/slopes/SeatSlopes.java
@@ -40,6 +40,12 @@
             afterOutage(simulation);
             return simulation.peakReads();
         }));
+        addReturns(series);
+        addStarts(series);
+        return series;
+    }
+
+    private void addReturns(List<Series> series) {
         series.add(returning("seats: failure domain restarts, time until all have a seat", "s", simulation -> {
             return simulation.settle(BOUND).toMillis() / 1e3;
         }));
@@ -59,6 +65,20 @@
             simulation.settle(BOUND);
             return simulation.conflicts();
         }));
+    }
+
+    private void addStarts(List<Series> series) {
+        series.add(replaced("seats: failure domain replaced, time until all have a seat", "s", simulation -> {
+            return simulation.settle(BOUND).toMillis() / 1e3;
+        }));
+        series.add(replaced("seats: failure domain replaced, busiest second, writes", "calls/s", simulation -> {
+            simulation.settle(BOUND);
+            return simulation.peakWrites();
+        }));
+        series.add(replaced("seats: failure domain replaced, writes in all", "calls", simulation -> {
+            simulation.settle(BOUND);
+            return simulation.writes();
+        }));
         series.add(first("seats: first start of a fleet, time until all have a seat", "s", simulation -> {
             return simulation.settle(BOUND).toMillis() / 1e3;
         }));
@@ -70,7 +90,6 @@
             simulation.settle(BOUND);
             return simulation.peakReads();
         }));
-        return series;
     }
 
     private static void afterOutage(SeatSimulation simulation) {
@@ -106,6 +125,17 @@
         });
     }
 
+    /** All daemons of one failure domain were lost, and as many start on new hosts within a second. */
+    private Series replaced(String name, String unit, ToDoubleFunction<SeatSimulation> measured) {
+        return series(name, unit, "daemons of the failure domain", DOMAIN_SIZES, (size, simulation) -> {
+            simulation.table(Fleet.seatTable(size * Fleet.DOMAINS, 1));
+            for (int i = 0; i < size; i++) {
+                simulation.startReplacement(i * Fleet.DOMAINS, START_SPREAD);
+            }
+            return measured.applyAsDouble(simulation);
+        });
+    }
+
     /** All daemons of a fleet start within a second and no seat table exists. */
     private Series first(String name, String unit, ToDoubleFunction<SeatSimulation> measured) {
         return series(name, unit, "daemons", DocumentSlopes.DAEMONS, (size, simulation) -> {
--- a/lavenderwick-benchmarks/src/main/java/org/lavenderwick/benchmarks/slopes/Slopes.java
+++ b/lavenderwick-benchmarks/src/main/java/org/lavenderwick/benchmarks/slopes/Slopes.java
@@ -65,6 +65,8 @@
         parts.put("calls", new CallSlopes(sampler)::all);
         parts.put("connections", new ConnectionSlopes(sampler)::all);
         parts.put("groups", new GroupSlopes(sampler)::all);
+        parts.put("audit", new AuditSlopes(sampler)::all);
+        parts.put("daemons", new DaemonSlopes(sampler)::all);
         return parts;
     }
 
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/membership/Owners.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/membership/Owners.java
@@ -5,13 +5,14 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.collect.ImmutableSet;
-import com.google.common.collect.Multimaps;
 import com.google.common.hash.HashFunction;
 import com.google.common.hash.Hashing;
 import org.lavenderwick.core.configuration.EndpointSettings;
@@ -26,19 +27,21 @@
  * moves only the groups for which it has the best score of its failure domain: on average 1/n of the groups, with n
  * seats in the failure domain.
  *
- * <p>Immutable and safe for use by any thread. One call hashes each seat of the group's failure domains once: O(s) time
- * and memory for s seats there. Callers keep the result per seat table and configuration.
+ * <p>Safe for use by any thread; answers never change. The first call for a group takes O(s) time for s seats in the
+ * failure domains of the group; the answer is kept, because each request of a caller asks for it.
  */
 public final class Owners {
 
     private static final HashFunction SCORE = Hashing.murmur3_128(0x6c61_7665);
 
     private final SeatTable table;
-    private final ImmutableListMultimap<FailureDomain, Seat> seatsByDomain;
+    private final ImmutableListMultimap<FailureDomain, HashedSeat> seatsByDomain;
+    private final Map<GroupName, Known> known = new ConcurrentHashMap<>();
 
     private Owners(SeatTable table) {
         this.table = table;
-        this.seatsByDomain = Multimaps.index(table.seats(), Seat::failureDomain);
+        this.seatsByDomain = table.seats().stream()
+                .collect(ImmutableListMultimap.toImmutableListMultimap(Seat::failureDomain, HashedSeat::of));
     }
 
     /** Returns the owners that follow from the given seat table. */
@@ -51,11 +54,20 @@
         return table;
     }
 
-    /** Returns the owners of a group, lead owner first; see {@link #ownersOf(GroupName, Collection)}. */
+    /**
+     * Returns the owners of a group, lead owner first; see {@link #ownersOf(GroupName, Collection)}. The answer is kept
+     * until it is asked for with other settings of the group.
+     */
     public List<Seat> ownersOf(GroupSettings group) {
-        return ownersOf(
-                group.name(),
-                group.endpoints().stream().map(EndpointSettings::failureDomain).toList());
+        Known answer = known.get(group.name());
+        if (answer == null || answer.group != group) {
+            List<FailureDomain> domains = group.endpoints().stream()
+                    .map(EndpointSettings::failureDomain)
+                    .toList();
+            answer = new Known(group, ownersOf(group.name(), domains));
+            known.put(group.name(), answer);
+        }
+        return answer.owners;
     }
 
     /**
@@ -71,9 +83,10 @@
         if (domains.stream().noneMatch(seatsByDomain::containsKey)) {
             domains = seatsByDomain.keySet();
         }
+        long groupHash = SCORE.hashString(group.value(), StandardCharsets.UTF_8).asLong();
         List<ScoredSeat> owners = new ArrayList<>();
         for (FailureDomain domain : domains) {
-            addOwners(group, seatsByDomain.get(domain), owners);
+            addOwners(groupHash, seatsByDomain.get(domain), owners);
         }
         owners.sort(Comparator.comparing((ScoredSeat owner) -> owner.seat().leaving())
                 .thenComparing(ScoredSeat.BEST_FIRST));
@@ -90,11 +103,13 @@
         return Optional.empty();
     }
 
-    private static void addOwners(GroupName group, List<Seat> seats, List<ScoredSeat> owners) {
+    private static void addOwners(long groupHash, List<HashedSeat> seats, List<ScoredSeat> owners) {
         ScoredSeat best = null;
         ScoredSeat bestStaying = null;
-        for (Seat seat : seats) {
-            ScoredSeat scored = new ScoredSeat(seat, score(group, seat.id()));
+        for (HashedSeat hashed : seats) {
+            Seat seat = hashed.seat;
+            ScoredSeat scored =
+                    new ScoredSeat(seat, SCORE.hashLong(groupHash ^ hashed.hash).asLong());
             if (best == null || scored.precedes(best)) {
                 best = scored;
             }
@@ -110,16 +125,21 @@
         }
     }
 
-    private static long score(GroupName group, SeatId seat) {
-        return SCORE.newHasher()
-                .putString(group.value(), StandardCharsets.UTF_8)
-                .putChar('/')
-                .putString(seat.failureDomain().value(), StandardCharsets.UTF_8)
-                .putInt(seat.number())
-                .hash()
-                .asLong();
+    /** A seat and the hash of its identity, which takes longer to compute than a score. */
+    private record HashedSeat(Seat seat, long hash) {
+        private static HashedSeat of(Seat seat) {
+            return new HashedSeat(
+                    seat,
+                    SCORE.newHasher()
+                            .putString(seat.failureDomain().value(), StandardCharsets.UTF_8)
+                            .putInt(seat.number())
+                            .hash()
+                            .asLong());
+        }
     }
 
+    private record Known(GroupSettings group, List<Seat> owners) {}
+
     private record ScoredSeat(Seat seat, long score) {
 
         private static final Comparator<ScoredSeat> BEST_FIRST = Comparator.comparingLong(ScoredSeat::score)
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/membership/PeerExchange.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/membership/PeerExchange.java
@@ -137,7 +137,17 @@
         for (int index : chosen) {
             String address = peers.get(index);
             Digest known = knownDigests.get(address);
-            contacts.add(new PeerContact(address, known == null ? NewsPlan.NOTHING : NewsPlan.between(own, known)));
+            contacts.add(new PeerContact(address, known == null ? NewsPlan.NOTHING : unasked(own, known)));
         }
     }
+
+    /**
+     * Returns the news that goes out before the peer stated its present digest. The seat table takes about 87 bytes a
+     * seat, and most peers have received it from others since they were last heard of, so it waits for the peer's
+     * answer unless the peer had no table at all.
+     */
+    private static NewsPlan unasked(Digest own, Digest known) {
+        NewsPlan plan = NewsPlan.between(own, known);
+        return new NewsPlan(plan.configurationSince(), plan.seatTable() && known.seatTableVersion() == 0);
+    }
 }
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/membership/SeatCandidates.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/membership/SeatCandidates.java
@@ -1,6 +1,7 @@
 package org.lavenderwick.core.membership;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
@@ -44,10 +45,16 @@
             }
         }
         if (refused.size() < MAX_TAKEOVER_ATTEMPTS) {
-            for (Seat held : table.seatsIn(domain)) {
-                if (!liveDaemons.contains(held.daemon()) && !refused.contains(held.id())) {
-                    return held.id();
-                }
+            List<Seat> dead = table.seatsIn(domain).stream()
+                    .filter(held -> !liveDaemons.contains(held.daemon()) && !refused.contains(held.id()))
+                    .toList();
+            if (dead.stream().anyMatch(held -> held.id().equals(leased))) {
+                return leased;
+            }
+            if (!dead.isEmpty()) {
+                // After the loss of many daemons their successors would all try the same one.
+                return dead.get(dead.size() == 1 ? 0 : random.nextInt(dead.size()))
+                        .id();
             }
         }
         if (leased != null && table.seat(leased).isEmpty()) {
@@ -61,8 +68,10 @@
         return open;
     }
 
-    void refuse(SeatId seat) {
+    /** Leaves a seat out from now on, and returns how many are left out. */
+    int refuse(SeatId seat) {
         refused.add(seat);
+        return refused.size();
     }
 
     void clear() {
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/membership/SeatClaim.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/membership/SeatClaim.java
@@ -162,7 +162,11 @@
         } else if (isHolding()) {
             onHolderRefused(now, call, actions);
         } else if (leased != null) {
-            candidates.refuse(leased);
+            // Several daemons claim at once. Without a pause from the second refusal on, 720 of them make thousands of
+            // calls a second.
+            if (candidates.refuse(leased) > 1) {
+                timer.failed(now);
+            }
             leased = null;
         }
         return advance(now, actions);
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/promotion/PrimaryMonitor.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/promotion/PrimaryMonitor.java
@@ -19,6 +19,12 @@
  */
 public final class PrimaryMonitor {
 
+    /**
+     * Time that the primary has to answer a probe before the replicas are probed too. Each owner without traffic probes
+     * a healthy primary twice a second, and asking the replicas every time would triple these messages.
+     */
+    private static final Duration REPLICA_PROBE_DELAY = Duration.ofMillis(50);
+
     private final List<EndpointName> endpoints;
     private final int majority;
     private final PromotionTimings timings;
@@ -121,8 +127,12 @@
     }
 
     private boolean isProbeDue(EndpointName endpoint, Duration now) {
+        boolean primary = endpoint.equals(record.primary());
+        if (!primary && now.minus(unansweredSince).compareTo(REPLICA_PROBE_DELAY) < 0) {
+            return false;
+        }
         Duration last = probedAt.get(endpoint);
-        Duration interval = endpoint.equals(record.primary()) ? timings.probeInterval() : replicaProbeInterval();
+        Duration interval = primary ? timings.probeInterval() : replicaProbeInterval();
         return last == null || now.minus(last).compareTo(interval) >= 0;
     }
 
