Test a connection id on another registered TCP connection

A changed copy of the endpoint stand-in that accepted any id on a registered connection passed all tests: the test's second connection had no session at all. It now registers first, and the changed copy fails.

--- a/lavenderwick-standins/src/test/java/org/lavenderwick/standins/EndpointServerTest.java
+++ b/lavenderwick-standins/src/test/java/org/lavenderwick/standins/EndpointServerTest.java
@@ -80,6 +80,9 @@
                     .textValue();
             String status = "{\"connectionId\":\"" + id + "\",\"requestId\":\"r\"}";
 
+            assertThat(post(second, "/status", status).statusCode()).isEqualTo(409);
+            post(second, "/connect", "{\"requestId\":\"r\"}");
+            assertThat(fleet.endpoint(FIRST).connections()).isEqualTo(2);
             assertThat(post(second, "/status", status).statusCode()).isEqualTo(409);
             assertThat(post(first, "/status", status).statusCode()).isEqualTo(200);
         }
