--- a/lavenderwick-benchmarks/src/main/java/org/lavenderwick/benchmarks/slopes/GroupSlopes.java
+++ b/lavenderwick-benchmarks/src/main/java/org/lavenderwick/benchmarks/slopes/GroupSlopes.java
@@ -36,6 +36,7 @@
 final class GroupSlopes {
     private static final int[] GROUPS = {50, 200, 800};
     private static final long IDLE_MILLIS = 3_000;
+    private static final Duration SHARE_RAISE_WAIT = Duration.ofSeconds(5);
     private static final long END_NANOS = 500_000_000;
 
     private final Sampler sampler;
@@ -77,6 +78,7 @@
                     new NoEndpoints(),
                     Timeouts.DEFAULTS.endpoint(),
                     Timeouts.DEFAULTS.connect(),
+                    SHARE_RAISE_WAIT,
                     GroupRecords.on(platform),
                     Policies.standard(),
                     InstantSource.system(),
