--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/membership/Owners.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/membership/Owners.java
@@ -1,5 +1,7 @@
 package org.lavenderwick.core.membership;
 
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -15,6 +17,7 @@
 import com.google.common.collect.ImmutableSet;
 import com.google.common.hash.HashFunction;
 import com.google.common.hash.Hashing;
+import com.google.common.primitives.Bytes;
 import org.lavenderwick.core.configuration.EndpointSettings;
 import org.lavenderwick.core.configuration.GroupSettings;
 import org.lavenderwick.core.model.DaemonName;
@@ -35,13 +38,13 @@
     private static final HashFunction SCORE = Hashing.murmur3_128(0x6c61_7665);
 
     private final SeatTable table;
-    private final ImmutableListMultimap<FailureDomain, HashedSeat> seatsByDomain;
+    private final ImmutableListMultimap<FailureDomain, EncodedSeat> seatsByDomain;
     private final Map<GroupName, Known> known = new ConcurrentHashMap<>();
 
     private Owners(SeatTable table) {
         this.table = table;
         this.seatsByDomain = table.seats().stream()
-                .collect(ImmutableListMultimap.toImmutableListMultimap(Seat::failureDomain, HashedSeat::of));
+                .collect(ImmutableListMultimap.toImmutableListMultimap(Seat::failureDomain, EncodedSeat::of));
     }
 
     /** Returns the owners that follow from the given seat table. */
@@ -83,10 +86,10 @@
         if (domains.stream().noneMatch(seatsByDomain::containsKey)) {
             domains = seatsByDomain.keySet();
         }
-        long groupHash = SCORE.hashString(group.value(), StandardCharsets.UTF_8).asLong();
+        byte[] groupBytes = (group.value() + "/\0").getBytes(StandardCharsets.UTF_8);
         List<ScoredSeat> owners = new ArrayList<>();
         for (FailureDomain domain : domains) {
-            addOwners(groupHash, seatsByDomain.get(domain), owners);
+            addOwners(groupBytes, seatsByDomain.get(domain), owners);
         }
         owners.sort(Comparator.comparing((ScoredSeat owner) -> owner.seat().leaving())
                 .thenComparing(ScoredSeat.BEST_FIRST));
@@ -103,13 +106,12 @@
         return Optional.empty();
     }
 
-    private static void addOwners(long groupHash, List<HashedSeat> seats, List<ScoredSeat> owners) {
+    private static void addOwners(byte[] groupBytes, List<EncodedSeat> seats, List<ScoredSeat> owners) {
         ScoredSeat best = null;
         ScoredSeat bestStaying = null;
-        for (HashedSeat hashed : seats) {
-            Seat seat = hashed.seat;
-            ScoredSeat scored =
-                    new ScoredSeat(seat, SCORE.hashLong(groupHash ^ hashed.hash).asLong());
+        for (EncodedSeat encoded : seats) {
+            Seat seat = encoded.seat;
+            ScoredSeat scored = new ScoredSeat(seat, encoded.score(groupBytes));
             if (best == null || scored.precedes(best)) {
                 best = scored;
             }
@@ -125,16 +127,18 @@
         }
     }
 
-    /** A seat and the hash of its identity, which takes longer to compute than a score. */
-    private record HashedSeat(Seat seat, long hash) {
-        private static HashedSeat of(Seat seat) {
-            return new HashedSeat(
-                    seat,
-                    SCORE.newHasher()
-                            .putString(seat.failureDomain().value(), StandardCharsets.UTF_8)
-                            .putInt(seat.number())
-                            .hash()
-                            .asLong());
+    /** A seat and its identity in bytes, which is the same for all groups. */
+    private record EncodedSeat(Seat seat, byte[] identity) {
+        private static EncodedSeat of(Seat seat) {
+            byte[] domain = seat.failureDomain().value().getBytes(StandardCharsets.UTF_8);
+            ByteBuffer identity =
+                    ByteBuffer.allocate(domain.length + Integer.BYTES).order(ByteOrder.LITTLE_ENDIAN);
+            return new EncodedSeat(
+                    seat, identity.put(domain).putInt(seat.number()).array());
+        }
+
+        private long score(byte[] groupBytes) {
+            return SCORE.hashBytes(Bytes.concat(groupBytes, identity)).asLong();
         }
     }
 
