--- a/lavenderwick-cli/src/main/java/org/lavenderwick/cli/bench/BenchRun.java
+++ b/lavenderwick-cli/src/main/java/org/lavenderwick/cli/bench/BenchRun.java
@@ -58,7 +58,7 @@
         FaultScript faults = new FaultScript(cluster.fleet(), plan);
         faults.prepare();
         Instant origin = Instant.now();
-        RunRecord record = new RunRecord(origin);
+        RunRecord record = new RunRecord(origin, plan.measuredFrom());
         ClusterSampler sampler = new ClusterSampler(cluster.fleet(), record);
         List<String> addresses = new ArrayList<>();
         for (Daemon daemon : cluster.daemons()) {
--- a/lavenderwick-cli/src/main/java/org/lavenderwick/cli/bench/LoadGenerator.java
+++ b/lavenderwick-cli/src/main/java/org/lavenderwick/cli/bench/LoadGenerator.java
@@ -95,7 +95,7 @@
                 session.lastWrite(),
                 stream.next());
         underWay.incrementAndGet();
-        record.started(record.now().minus(stream.next()));
+        record.started(stream.next());
         attempt(stream, operation, 1);
     }
 
--- a/lavenderwick-cli/src/main/java/org/lavenderwick/cli/bench/RunRecord.java
+++ b/lavenderwick-cli/src/main/java/org/lavenderwick/cli/bench/RunRecord.java
@@ -11,13 +11,15 @@
 /** Everything that callers saw in one run, with times from its origin on the system clock. Thread-safe. */
 final class RunRecord {
     private final Instant origin;
+    private final Duration measuredFrom;
     private final ConcurrentLinkedQueue<CallerOperation> attempts = new ConcurrentLinkedQueue<>();
     private final ConcurrentLinkedQueue<Outcome> outcomes = new ConcurrentLinkedQueue<>();
 
     private final Histogram senderLag = new Histogram(2);
 
-    RunRecord(Instant origin) {
+    RunRecord(Instant origin, Duration measuredFrom) {
         this.origin = origin;
+        this.measuredFrom = measuredFrom;
     }
 
     Instant origin() {
@@ -37,9 +39,11 @@
         outcomes.add(outcome);
     }
 
-    /** Records by how much a request was sent after its intended time. */
-    synchronized void started(Duration lag) {
-        senderLag.recordValue(Math.max(0, lag.toNanos() / 1_000));
+    /** Records by how much a request that starts now is late. */
+    synchronized void started(Duration intendedAt) {
+        if (intendedAt.compareTo(measuredFrom) >= 0) {
+            senderLag.recordValue(Math.max(0, now().minus(intendedAt).toNanos() / 1_000));
+        }
     }
 
     /** Returns the 99th percentile of the delay between the intended and the real time of sending. */
