Bound waiting calls to a peer without taking it for unreachable

512 open connections to one owner were taken for an unreachable owner, which in a flood would have moved its work to the others. The bound is 4,096 now, and work above it is refused with QUEUE_FULL. Cancelled timeouts leave their queue.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/DaemonThreads.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/DaemonThreads.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import com.google.common.util.concurrent.ThreadFactoryBuilder;
@@ -36,10 +37,15 @@
                         .setNameFormat("answer-%d")
                         .setDaemon(true)
                         .build());
-        timer = Executors.newSingleThreadScheduledExecutor(new ThreadFactoryBuilder()
-                .setNameFormat("timer")
-                .setDaemon(true)
-                .build());
+        ScheduledThreadPoolExecutor timeouts = new ScheduledThreadPoolExecutor(
+                1,
+                new ThreadFactoryBuilder()
+                        .setNameFormat("timer")
+                        .setDaemon(true)
+                        .build());
+        // Most timeouts are cancelled when an answer comes and must not pile up until they are due.
+        timeouts.setRemoveOnCancelPolicy(true);
+        timer = timeouts;
     }
 
     static DaemonThreads start(int trafficThreads) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/entry/OwnerRelay.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/entry/OwnerRelay.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
@@ -118,6 +119,7 @@
         private boolean mayHaveRun;
         private int round = 1;
         private int attempts;
+        private Future<?> nextCheck;
 
         Run(Work work, OwnerChoice choice) {
             this.work = work;
@@ -170,9 +172,9 @@
             int attempt = attempts;
             Duration now = clock.now();
             RelayRequest request = RelayCodec.request(work, now, tableVersion, fallback);
+            planCheck(() -> check(owner, attempt, request, true));
             peers.execute(owner.address(), request, work.deadline().minus(now))
                     .thenAccept(answer -> settle(owner, attempt, answer));
-            timer.schedule(() -> check(owner, attempt, request, true), checkAfter.toMillis(), TimeUnit.MILLISECONDS);
         }
 
         /**
@@ -195,13 +197,16 @@
                     peers.execute(owner.address(), request, work.deadline().minus(clock.now()))
                             .thenAccept(answer -> answer.forEach(response -> settle(owner, attempt, answer)));
                 }
-                timer.schedule(
-                        () -> check(owner, attempt, request, first && !alive),
-                        checkAfter.toMillis(),
-                        TimeUnit.MILLISECONDS);
+                planCheck(() -> check(owner, attempt, request, first && !alive));
             });
         }
 
+        private synchronized void planCheck(Runnable check) {
+            if (!result.isDone()) {
+                nextCheck = timer.schedule(check, checkAfter.toMillis(), TimeUnit.MILLISECONDS);
+            }
+        }
+
         private synchronized boolean current(int attempt) {
             return attempt == attempts && !result.isDone();
         }
@@ -211,6 +216,7 @@
                 return;
             }
             attempts++;
+            nextCheck.cancel(false);
             if (answer.isRight()) {
                 health.answered(owner.address());
                 answered(owner, RelayCodec.outcome(answer.get()));
@@ -237,6 +243,10 @@
 
         private void unanswered(Seat owner, PeerFailure failure) {
             LOG.debugf("[relay] %s: %s for %s.", owner.daemon(), failure, work.requestId());
+            if (failure == PeerFailure.TOO_MANY_CALLS) {
+                fail(Failure.of(ErrorKind.QUEUE_FULL, "Too many requests wait for answers of the owner."));
+                return;
+            }
             health.unreachable(owner.address());
             if (failure == PeerFailure.NOT_SENT) {
                 next();
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/EventLoop.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/EventLoop.java
@@ -2,10 +2,10 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -27,8 +27,10 @@
 
     /** Starts a loop whose thread has the given name. */
     public static EventLoop start(String name, MonotonicClock clock) {
-        ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor(
+        ScheduledThreadPoolExecutor executor = new ScheduledThreadPoolExecutor(
+                1,
                 new ThreadFactoryBuilder().setNameFormat(name).setDaemon(true).build());
+        executor.setRemoveOnCancelPolicy(true);
         return new EventLoop(executor, clock);
     }
 
@@ -56,11 +58,6 @@
         }
     }
 
-    /** Runs a task on the loop again and again with the given pause in between. */
-    public Future<?> every(Duration pause, Runnable task) {
-        return executor.scheduleWithFixedDelay(guarded(task), pause.toNanos(), pause.toNanos(), TimeUnit.NANOSECONDS);
-    }
-
     /** Hands the result of a future, which never completes exceptionally, to a consumer on the loop. */
     public <T> void deliver(CompletableFuture<T> future, Consumer<T> consumer) {
         future.whenComplete((result, error) -> {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/peer/PeerClient.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/peer/PeerClient.java
@@ -35,8 +35,8 @@
     private static final Duration SEND_TIMEOUT = Duration.ofMillis(500);
     /** Idle connections kept for each peer. */
     private static final int MAX_IDLE_PER_PEER = 32;
-    /** Open connections to one peer; calls above it are not sent. */
-    private static final int MAX_OPEN_PER_PEER = 512;
+    /** Open connections to one peer; an owner refuses work before so much of it waits there. */
+    private static final int MAX_OPEN_PER_PEER = 4_096;
 
     private final InetAddress localAddress;
     private final ScheduledExecutorService timer;
@@ -99,6 +99,9 @@
         } catch (IOException | TException | IllegalArgumentException e) {
             return CompletableFuture.completedFuture(Either.left(PeerFailure.NOT_SENT));
         }
+        if (connection == null) {
+            return CompletableFuture.completedFuture(Either.left(PeerFailure.TOO_MANY_CALLS));
+        }
         connection.nextCall();
         connection.client().setTimeout(Math.max(1, timeout.toMillis()));
         // The send timeout also covers the case that the selector thread of the client does not get to the call.
@@ -132,6 +135,7 @@
         return result;
     }
 
+    /** Returns an idle or a new connection, or null if too many are open. */
     private PeerConnection take(String address) throws IOException, TException {
         while (true) {
             PeerConnection idle;
@@ -140,7 +144,7 @@
                 idle = peer.idle.pollFirst();
                 if (idle == null) {
                     if (peer.open >= MAX_OPEN_PER_PEER) {
-                        throw new IOException("too many connections to " + address);
+                        return null;
                     }
                     peer.open++;
                 }
