Do not suspect an owner because work waited past its deadline

In a flood, work that expired in the owner's queue gave no answer by the entry's own deadline, and OwnerRelay took the owner for unreachable for 2 s, for work of all ranks: requests went to owners with a smaller share of connections or were refused as OWNER_UNREACHABLE. Now only a check of the owner decides, and such work ends as DEADLINE_UNREACHABLE (a sent write as OUTCOME_UNKNOWN) without using up the retry budget.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/entry/OwnerRelay.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/entry/OwnerRelay.java
@@ -48,6 +48,9 @@
     private static final Set<ErrorKind> NOT_TAKEN = Set.of(
             ErrorKind.OWNER_UNREACHABLE, ErrorKind.DRAINING, ErrorKind.NOT_CONFIGURED, ErrorKind.TERM_UNCONFIRMED);
 
+    /** Timeouts of calls are in whole milliseconds and may end a little before the deadline. */
+    private static final Duration DEADLINE_SLACK = Duration.ofMillis(10);
+
     private static final int ROUNDS = 3;
     private static final int INITIAL_RETRIES = 10;
     private static final Logger LOG = Logger.getLogger(OwnerRelay.class);
@@ -247,7 +250,14 @@
                 fail(Failure.of(ErrorKind.QUEUE_FULL, "Too many requests wait for answers of the owner."));
                 return;
             }
-            health.unreachable(owner.address());
+            boolean late = failure == PeerFailure.NO_ANSWER
+                    && clock.now().plus(DEADLINE_SLACK).compareTo(work.deadline()) >= 0;
+            if (late) {
+                // The work may just have waited too long at a busy owner; only a check tells whether the owner answers.
+                health.check(owner.address());
+            } else {
+                health.unreachable(owner.address());
+            }
             if (failure == PeerFailure.NOT_SENT) {
                 next();
             } else if (work.step() == TransactionStep.BEGIN) {
@@ -257,7 +267,9 @@
                 fail(Failure.of(ErrorKind.OUTCOME_UNKNOWN, "The owner gave no answer."));
             } else {
                 mayHaveRun |= work.write();
-                if (tryRetry()) {
+                if (late) {
+                    fail(Failure.of(ErrorKind.DEADLINE_UNREACHABLE, "The deadline passed before the owner answered."));
+                } else if (tryRetry()) {
                     next();
                 } else {
                     fail(Failure.of(
