--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/connections/GuardedShare.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/connections/GuardedShare.java
@@ -39,10 +39,13 @@
         return guard;
     }
 
-    /** Records the share according to the newest seat table. */
+    /** Records the share according to the newest seat table. A share that stays the same does not start a wait. */
     public void update(int share, Duration now) {
         checkArgument(share >= 0, "share is negative: %s", share);
         expire(now);
+        if (recent.peekLast().share() == share) {
+            return;
+        }
         while (!recent.isEmpty() && recent.peekLast().share() >= share) {
             recent.removeLast();
         }
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/connections/ConnectionSharesTest.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/connections/ConnectionSharesTest.java
@@ -109,4 +109,14 @@
         assertThat(guard.current(Duration.ofSeconds(17))).isEqualTo(4);
         assertThat(guard.current(Duration.ofSeconds(18))).isEqualTo(16);
     }
+
+    /** Guards against a share that is never raised because its owner reports the same share again and again. */
+    @Test
+    void reportingTheSameShareAgainDoesNotStartTheWaitAgain() {
+        GuardedShare guard = GuardedShare.create(Duration.ofSeconds(3));
+        for (int second = 10; second <= 13; second++) {
+            guard.update(12, Duration.ofSeconds(second));
+        }
+        assertThat(guard.current(Duration.ofSeconds(13))).isEqualTo(12);
+    }
 }
