--- a/lavenderwick-cli/src/main/java/org/lavenderwick/cli/cluster/LocalCluster.java
+++ b/lavenderwick-cli/src/main/java/org/lavenderwick/cli/cluster/LocalCluster.java
@@ -117,7 +117,7 @@
         return daemon;
     }
 
-    /** Waits until all daemons are ready, know the given number of seats, and each group has a lead that may serve it. */
+    /** Waits until all daemons are ready and know the given number of seats, and each group has a lead that serves. */
     public void awaitReady(int seats) throws InterruptedException {
         await(
                 "ready daemons",
