--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/connections/GuardedShare.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/connections/GuardedShare.java
@@ -20,7 +20,7 @@
 
     private final Duration raiseWait;
 
-    /** The shares in force within the last wait, oldest first, without those followed by a lower one. */
+    /** The shares in force within the last wait, oldest first, without those followed by a lower or equal one. */
     private final Deque<Change> recent = new ArrayDeque<>();
 
     private GuardedShare(Duration raiseWait) {
@@ -39,17 +39,17 @@
         return guard;
     }
 
-    /** Records the share according to the newest seat table. */
+    /** Records the share according to the newest seat table. A share that stays the same does not start a wait. */
     public void update(int share, Duration now) {
         checkArgument(share >= 0, "share is negative: %s", share);
         expire(now);
-        while (!recent.isEmpty() && recent.peekLast().share() > share) {
-            recent.removeLast();
+        if (recent.peekLast().share() == share) {
+            return;
         }
-        // An unchanged share keeps its time, else updates within the wait would hold a raise back for ever.
-        if (recent.isEmpty() || recent.peekLast().share() < share) {
-            recent.addLast(new Change(now, share));
+        while (!recent.isEmpty() && recent.peekLast().share() >= share) {
+            recent.removeLast();
         }
+        recent.addLast(new Change(now, share));
     }
 
     /** Returns the share that holds now: the lowest one in force within the wait. */
