--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/admission/Lane.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/admission/Lane.java
@@ -7,8 +7,9 @@
 import java.util.TreeSet;
 
 /**
- * The waiting items of one rank and access. Those that can still be answered when due come first, earliest due first;
- * the late ones follow, earliest deadline first. An item does not move back once it is late.
+ * The waiting items of one rank and access. Those that can still be answered when due come first, earliest due first,
+ * or latest due first while there are late ones; the late ones follow, earliest deadline first. An item does not move
+ * back once it is late.
  */
 final class Lane {
 
@@ -65,10 +66,15 @@
         }
     }
 
-    /** Returns the first item on time that may start, among the first few. */
-    Optional<WorkItem> firstOnTime(StartRule rule) {
+    /**
+     * Returns the next item on time that may start, among the first few. While late items wait, the one with the most
+     * time left is next: served by due time, all work of an overload would be answered at the last moment, and the way
+     * back to the caller would make it late.
+     */
+    Optional<WorkItem> nextOnTime(StartRule rule) {
+        boolean overloaded = !late.isEmpty();
         int asked = 0;
-        for (WorkItem item : onTime) {
+        for (WorkItem item : overloaded ? onTime.descendingSet() : onTime) {
             if (asked++ == MAX_ASKED) {
                 break;
             }
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/admission/RankQueue.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/admission/RankQueue.java
@@ -58,7 +58,7 @@
         for (Lane lane : lanes.values()) {
             if (lane.size() > 0) {
                 lane.sortOutLate(now, serviceTime);
-                onTime = earlierDue(onTime, lane.firstOnTime(rule));
+                onTime = earlierDue(onTime, lane.nextOnTime(rule));
             }
         }
         if (onTime.isPresent()) {
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/admission/RankedAdmissionQueue.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/admission/RankedAdmissionQueue.java
@@ -27,7 +27,8 @@
  *   <li>Each start earns every rank that could have started an item its floor share of that start. A rank with the
  *       credit of a whole start goes ahead of more urgent ranks. Service beyond the floor share uses up credit, so a
  *       rank that floods has none and never delays urgent work.
- *   <li>Within a rank, items that can still be answered when due are served before late ones.
+ *   <li>Within a rank, items that can still be answered when due are served before late ones; while there are late
+ *       ones, those with the most time left come first.
  *   <li>An item is refused on arrival if what stands before it would take until after its deadline, at the measured
  *       pace.
  *   <li>Each rank has its own bound. A new item takes the place of a late one when the rank is full.
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/admission/OverloadSimulation.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/admission/OverloadSimulation.java
@@ -72,6 +72,12 @@
         return servedOnTime;
     }
 
+    long servedWithin(RankSettings rank, Duration wait) {
+        return waits.get(rank.name()).stream()
+                .filter(served -> served.compareTo(wait) <= 0)
+                .count();
+    }
+
     int refused() {
         return refused;
     }
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/admission/RankedAdmissionQueueTest.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/admission/RankedAdmissionQueueTest.java
@@ -121,6 +121,17 @@
             assertThat((double) fifo.servedOnTime() / fifo.served()).isLessThan(0.1);
         }
 
+        /** Guards against answers at the last moment, which the way back to the caller makes late. */
+        @ParameterizedTest
+        @ValueSource(ints = {1, 5})
+        void overloadLeavesHalfOfTheTargetForTheWayToTheCaller(int arrivalMillis) {
+            OverloadSimulation ranked = new OverloadSimulation(queue(), 10)
+                    .arrivalEvery(BULK, arrivalMillis)
+                    .run(MINUTE);
+            long early = ranked.servedWithin(BULK, BULK.target().dividedBy(2));
+            assertThat((double) early / ranked.served()).isGreaterThan(0.9);
+        }
+
         /** Guards against a queue full of late work that turns fresh work away. */
         @Test
         void freshWorkTakesThePlaceOfLateWork() {
