--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/TransactionRunner.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/TransactionRunner.java
@@ -82,7 +82,8 @@
                 requeue.accept(pending);
                 return;
             }
-            if (!pending.inTime(context.loop().now(), target.latency())) {
+            if (!pending.inTime(
+                    context.loop().now(), target.expectedCallTime(context.loop().now()))) {
                 target.ended();
                 target.link().release(acquired.get(), ReleaseState.CLEAN);
                 pending.failLate();
