Do not refuse work before it is sent because of a smoothed latency

The life of 200 ms does not help while answers come. Work that has a connection is now refused only when its deadline has passed; the queue still refuses early by its own pace, which does not contain timeouts.

Run: 8 scenarios of answers.feature in order, PendingTest and RequestPathTest pass.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/Pending.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/Pending.java
@@ -66,15 +66,17 @@
         return behind;
     }
 
-    /** Returns whether an answer can come before the deadline if a call takes the given time. */
-    boolean inTime(Duration now, Duration callTime) {
-        return now.plus(callTime).compareTo(work.deadline()) < 0;
+    /**
+     * Returns whether the deadline has not passed. The smoothed latency is no reason to refuse: after lost answers it
+     * is above short deadlines, and as refused work brings no answer, it would stay there.
+     */
+    boolean inTime(Duration now) {
+        return now.compareTo(work.deadline()) < 0;
     }
 
-    /** Fails work that got a connection too late. A write sent then would most likely have an unknown outcome. */
+    /** Fails work that got a connection only after its deadline. */
     void failLate() {
-        fail(WorkFailure.of(
-                ErrorKind.DEADLINE_UNREACHABLE, "A connection was free too late for an answer before the deadline."));
+        fail(WorkFailure.of(ErrorKind.DEADLINE_UNREACHABLE, "The deadline passed before a connection was free."));
     }
 
     void answer(WorkAnswer answer) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/SingleRunner.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/SingleRunner.java
@@ -82,7 +82,7 @@
     private void send(Attempt attempt, long connection) {
         Work work = attempt.pending.work();
         Duration sentAt = context.loop().now();
-        if (!attempt.pending.inTime(sentAt, attempt.target.expectedCallTime(sentAt))) {
+        if (!attempt.pending.inTime(sentAt)) {
             attempt.target.ended();
             attempt.target.link().release(connection, ReleaseState.CLEAN);
             attempt.pending.failLate();
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/Target.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/Target.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Optional;
 
 import org.lavenderwick.adapters.endpoint.EndpointStatus;
 import org.lavenderwick.core.admission.ConcurrencyLimit;
@@ -16,17 +15,10 @@
     /** Time without answers after which one fast answer makes a slow endpoint count as fast again. */
     private static final Duration LATENCY_DECAY = Duration.ofSeconds(5);
 
-    /**
-     * Time after an answer during which the latency may be a reason to refuse work. Refused work brings no answer, so
-     * an older latency, perhaps of lost answers, would refuse all work with short deadlines for good.
-     */
-    private static final Duration LATENCY_LIFE = Duration.ofMillis(200);
-
     private final EndpointLink link;
     private final ConcurrencyLimit limit;
     private final EventLoop loop;
     private final LatencyTracker latency = LatencyTracker.create(LATENCY_DECAY);
-    private Optional<Duration> answeredAt = Optional.empty();
     private int outstanding;
     private boolean leaving;
 
@@ -48,14 +40,6 @@
         return latency.value();
     }
 
-    /** Returns how long a call is likely to take; zero if the last answer is too old to tell. */
-    Duration expectedCallTime(Duration now) {
-        boolean fresh = answeredAt
-                .filter(at -> now.minus(at).compareTo(LATENCY_LIFE) <= 0)
-                .isPresent();
-        return fresh ? latency.value() : Duration.ZERO;
-    }
-
     int outstanding() {
         return outstanding;
     }
@@ -100,7 +84,6 @@
     /** Records an answer to a request that was sent at the given time. */
     void answered(Duration sentAt) {
         Duration now = loop.now();
-        answeredAt = Optional.of(now);
         latency.record(now.minus(sentAt), now);
         limit.answered(now.minus(sentAt), outstanding);
     }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/TransactionRunner.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/group/TransactionRunner.java
@@ -82,8 +82,7 @@
                 requeue.accept(pending);
                 return;
             }
-            if (!pending.inTime(
-                    context.loop().now(), target.expectedCallTime(context.loop().now()))) {
+            if (!pending.inTime(context.loop().now())) {
                 target.ended();
                 target.link().release(acquired.get(), ReleaseState.CLEAN);
                 pending.failLate();
