--- a/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/SessionSettings.java
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/SessionSettings.java
@@ -15,6 +15,7 @@
  * @param readinessAddress where questions for readiness are answered
  * @param storeAddress where the store is
  * @param promotionAddress where promotions are ordered
+ * @param changeBound time in which a change of the configuration must be in force
  * @param stopTime time between the request to stop and the forced end of the process
  */
 public record SessionSettings(
@@ -24,4 +25,5 @@
         InetSocketAddress readinessAddress,
         InetSocketAddress storeAddress,
         InetSocketAddress promotionAddress,
+        Duration changeBound,
         Duration stopTime) {}
--- a/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/SessionSettingsLoader.java
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/SessionSettingsLoader.java
@@ -16,6 +16,11 @@
 
     private static final Duration MAX_STOP_TIME = Duration.ofMinutes(10);
 
+    private static final Duration MAX_CHANGE_BOUND = Duration.ofMinutes(1);
+
+    /** Bound of the configuration guarantee in the users' brief: in force everywhere within seconds. */
+    private static final Duration DEFAULT_CHANGE_BOUND = Duration.ofSeconds(3);
+
     private static final String ADDRESS = "an IP address and port such as 127.0.1.1:7000";
 
     private SessionSettingsLoader() {}
@@ -37,6 +42,7 @@
         String readiness = reader.text("readinessAddress", ADDRESS, Addresses::isIpAndPort);
         String store = reader.text("storeAddress", ADDRESS, Addresses::isIpAndPort);
         String promotion = reader.text("promotionAddress", ADDRESS, Addresses::isIpAndPort);
+        Duration changeBound = reader.millis("configurationMs", MAX_CHANGE_BOUND, DEFAULT_CHANGE_BOUND);
         Duration stopTime = reader.seconds("stopSeconds", MAX_STOP_TIME);
         reader.finish();
         if (!problems.isEmpty()) {
@@ -49,6 +55,7 @@
                 socketAddress(readiness),
                 socketAddress(store),
                 socketAddress(promotion),
+                changeBound,
                 stopTime);
     }
 
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
@@ -77,6 +77,7 @@
                 PromoteCall.create(settings.promotionAddress(), settings.daemon(), PROMOTION_TIMEOUT),
                 clock,
                 random,
+                settings.changeBound(),
                 view -> loop.execute(() -> proxy.apply(view)),
                 proxy::suspects);
         SessionDaemon daemon = new SessionDaemon(settings, loop, proxy, control, clock);
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/EndpointOrders.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/EndpointOrders.java
@@ -23,8 +23,8 @@
 /** Orders to endpoints over connections of their own, which are kept until {@link #close}. Confined to one thread. */
 final class EndpointOrders implements EndpointControl, AutoCloseable {
 
-    /** Longest time to open a connection: some round trips. */
-    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
+    /** Longest time to reach an endpoint: many round trips, yet short, as a dead one is asked in every round. */
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(120);
 
     /** Longest time for an answer, which may wait for a slot. */
     private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(500);
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
@@ -70,6 +70,7 @@
     /**
      * Creates a control thread's work.
      *
+     * @param changeBound time in which a change of the configuration must be in force
      * @param listener hears of each change of what is known, on the control thread
      * @param suspects returns the endpoints that do not answer this daemon; called on the control thread
      */
@@ -80,13 +81,14 @@
             PromotionPort promotions,
             MonotonicClock clock,
             RandomGenerator random,
+            Duration changeBound,
             Consumer<FleetView> listener,
             Supplier<Set<EndpointName>> suspects) {
         this.daemon = daemon;
         this.store = store;
         this.codec = codec;
         this.clock = clock;
-        this.follower = new StoreFollower(store, random);
+        this.follower = new StoreFollower(store, changeBound, random);
         this.terms = new TermKeeper(store, clock);
         this.suspicions = new Suspicions(daemon, store);
         this.failovers = new Failovers(daemon, store, codec, promotions, clock);
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/StoreFollower.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/StoreFollower.java
@@ -16,8 +16,11 @@
 /** Follows the store on a thread of its own: reads everything once and then waits for changes. */
 final class StoreFollower implements Runnable {
 
-    /** Longest wait of one watch; long enough to cost little, short enough to notice a silent connection. */
-    private static final Duration WATCH_WAIT = Duration.ofSeconds(10);
+    /**
+     * Part of the time in which a configuration must be in force that one watch may take. A watch can miss changes
+     * without a sign; the next one then finds them or learns that they are lost.
+     */
+    private static final int WATCHES_PER_BOUND = 2;
 
     private static final Duration FIRST_BACKOFF = Duration.ofMillis(50);
     private static final Duration LONGEST_BACKOFF = Duration.ofMillis(800);
@@ -30,10 +33,17 @@
     private final FleetStore store;
     private final Backoff backoff;
     private final BlockingQueue<Reading> readings = new LinkedBlockingQueue<>();
+    private final Duration watchWait;
     private boolean failing;
 
-    StoreFollower(FleetStore store, RandomGenerator random) {
+    /**
+     * Creates a follower.
+     *
+     * @param changeBound time in which a change must be known
+     */
+    StoreFollower(FleetStore store, Duration changeBound, RandomGenerator random) {
         this.store = store;
+        this.watchWait = changeBound.dividedBy(WATCHES_PER_BOUND);
         this.backoff = Backoff.create(FIRST_BACKOFF, LONGEST_BACKOFF, random);
     }
 
@@ -47,7 +57,7 @@
         long revision = -1;
         while (!Thread.currentThread().isInterrupted()) {
             boolean complete = revision < 0;
-            Either<Failure, StoreChanges> read = complete ? store.load() : store.awaitChanges(revision, WATCH_WAIT);
+            Either<Failure, StoreChanges> read = complete ? store.load() : store.awaitChanges(revision, watchWait);
             if (read.isRight()) {
                 succeeded();
                 revision = read.get().revision();
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EndpointConnection.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EndpointConnection.java
@@ -31,6 +31,9 @@
         /** The connection has ended, while it ran the given work or none. */
         void ended(EndpointConnection connection, Optional<Work> running, Optional<EndpointError> refusal);
 
+        /** A statement is sent on the connection. */
+        void asked(EndpointConnection connection);
+
         /** An answer to any statement has arrived. */
         void answered(EndpointConnection connection, Answer answer);
 
@@ -240,6 +243,7 @@
 
     private void send(String text, Consumer<Answer> receiver) {
         exchanges.addLast(new Exchange(loop.now(), receiver));
+        owner.asked(this);
         line.send(text);
     }
 
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EndpointPool.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EndpointPool.java
@@ -10,6 +10,7 @@
 import org.lavenderwick.adapters.session.EndpointCodec;
 import org.lavenderwick.adapters.session.EndpointError;
 import org.lavenderwick.core.catalog.EndpointEntry;
+import org.lavenderwick.core.dispatch.SilenceDetector;
 import org.lavenderwick.core.model.LogPoint;
 import org.lavenderwick.core.statement.SessionContext;
 import org.lavenderwick.core.time.Backoff;
@@ -24,7 +25,7 @@
     private static final Duration SILENT_AFTER = Duration.ofMillis(600);
 
     /** Longest time to open a connection; a handshake takes some ten milliseconds and may wait for a slot. */
-    private static final Duration OPEN_LIMIT = Duration.ofMillis(1500);
+    private static final Duration OPEN_LIMIT = Duration.ofMillis(600);
 
     private static final Duration FIRST_BACKOFF = Duration.ofMillis(40);
     private static final Duration LONGEST_BACKOFF = Duration.ofMillis(400);
@@ -45,7 +46,8 @@
     private EndpointEntry entry;
     private int maxConnections = 1;
     private Duration openNotBefore = Duration.ZERO;
-    private Duration failingSince;
+    private final SilenceDetector silence = SilenceDetector.create(SUSPECT_AFTER);
+    private boolean failing;
     private Duration lastAnswerSentAt = Duration.ZERO;
     private Duration drainingSince;
     private LogPoint known = LogPoint.START;
@@ -127,6 +129,7 @@
                 || loop.now().compareTo(openNotBefore) < 0) {
             return;
         }
+        silence.asked(loop.now());
         try {
             connections.add(EndpointConnection.open(loop, codec, entry, owner));
         } catch (IOException e) {
@@ -137,18 +140,32 @@
 
     /** Returns whether a connection could be opened now or soon. */
     boolean isUsable() {
-        return !otherEndpoint && (connections.stream().anyMatch(EndpointConnection::isOpen) || failingSince == null);
+        return !otherEndpoint && (connections.stream().anyMatch(EndpointConnection::isOpen) || !failing);
     }
 
     void opened() {
         backoff.reset();
-        failingSince = null;
+        failing = false;
+        heard();
         lastAnswerSentAt = loop.now();
     }
 
+    private void heard() {
+        silence.answered(
+                loop.now(),
+                connections.stream()
+                        .anyMatch(connection -> connection.waitingSince().isPresent()));
+    }
+
+    /** Records that a statement was sent on a connection of this pool. */
+    void asked() {
+        silence.asked(loop.now());
+    }
+
     void ended(EndpointConnection connection, Optional<EndpointError> refusal) {
         connections.remove(connection);
         if (refusal.isPresent()) {
+            heard();
             lastAnswerSentAt = loop.now();
         }
         if (refusal.equals(Optional.of(EndpointError.OTHER_ENDPOINT))) {
@@ -163,9 +180,7 @@
 
     private void openFailed() {
         openNotBefore = loop.now().plus(backoff.nextDelay());
-        if (failingSince == null) {
-            failingSince = loop.now();
-        }
+        failing = true;
     }
 
     static Backoff newBackoff(java.util.random.RandomGenerator random) {
@@ -173,6 +188,7 @@
     }
 
     void answered(Answer answer) {
+        heard();
         if (answer.sentAt().compareTo(lastAnswerSentAt) > 0) {
             lastAnswerSentAt = answer.sentAt();
         }
@@ -190,14 +206,14 @@
 
     /** Returns whether the endpoint owes answers for long and gave none meanwhile, or cannot be connected to. */
     boolean isSuspect() {
-        Duration now = loop.now();
-        if (failingSince != null && failingSince.plus(SUSPECT_AFTER).compareTo(now) < 0) {
-            return true;
+        return silence.isSilent(loop.now());
+    }
+
+    /** Tries to reach an endpoint that is silent. */
+    void probe() {
+        if (isSuspect() && connections.stream().noneMatch(EndpointConnection::isOpen)) {
+            openOne();
         }
-        return connections.stream()
-                .flatMap(connection -> connection.waitingSince().stream())
-                .anyMatch(
-                        since -> since.plus(SUSPECT_AFTER).compareTo(now) < 0 && lastAnswerSentAt.compareTo(since) < 0);
     }
 
     /** Closes the connections that have gone silent or take too long to open. */
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GroupDispatcher.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GroupDispatcher.java
@@ -211,6 +211,7 @@
         Duration now = loop.now();
         terms.settle(now);
         pools.values().forEach(EndpointPool::closeSilent);
+        pools.values().forEach(EndpointPool::probe);
         for (Work work : queue.removeIf(work -> now.compareTo(work.deadline()) >= 0)) {
             work.session().refused(work, Failure.of(ErrorKind.DEADLINE_UNREACHABLE, "no endpoint was free in time"));
         }
@@ -254,6 +255,11 @@
         dispatch();
     }
 
+    @Override
+    public void asked(EndpointConnection connection) {
+        pool(connection).ifPresent(EndpointPool::asked);
+    }
+
     @Override
     public void answered(EndpointConnection connection, Answer answer) {
         pool(connection).ifPresent(pool -> pool.answered(answer));
