--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/EndpointReport.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/EndpointReport.java
@@ -18,8 +18,8 @@
         return role == EndpointRole.PRIMARY && promisedTerm <= term;
     }
 
-    /** Returns whether the report rules out that a term above the given one has begun with this endpoint's consent. */
-    public boolean supports(long leaderTerm) {
-        return term <= leaderTerm && promisedTerm <= leaderTerm;
+    /** Returns whether the endpoint is a replica that knows of no term above the given one and made way for none. */
+    public boolean follows(long leaderTerm) {
+        return role == EndpointRole.REPLICA && term <= leaderTerm && promisedTerm <= leaderTerm;
     }
 }
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/FailoverRun.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/FailoverRun.java
@@ -26,7 +26,7 @@
  * <ol>
  *   <li>Take the duty: an entry under a lease, which exists once; its revision is the fencing token.
  *   <li>Close the term in the record, under a new lease, and end the lease of the record before.
- *   <li>Obtain the promise of a majority of the endpoints not to support the term any more.
+ *   <li>Stop the old primary, or obtain the promise of the replicas to follow it no more.
  *   <li>Wait until all evidence that was gathered before has ended.
  *   <li>Record the most advanced endpoint as the candidate, and order its promotion.
  *   <li>Open the term of the candidate once it leads.
@@ -40,6 +40,7 @@
         TAKE_DUTY,
         CLOSE,
         END_LEASE,
+        CHECK_CANDIDATE,
         VOTE,
         WAIT,
         CHOOSE,
@@ -63,7 +64,7 @@
     private final PromotionPort promotions;
     private final FailoverTimings timings;
     private final TermRecordStore records;
-    private final PromiseRound promises;
+    private PromiseRound promises;
 
     private Step step = Step.TAKE_DUTY;
     private FailoverOutcome outcome = FailoverOutcome.RUNNING;
@@ -96,7 +97,7 @@
         this.promotions = promotions;
         this.timings = timings;
         this.records = new TermRecordStore(store);
-        this.promises = new PromiseRound(this.members, suspect, endpoints);
+        this.promises = PromiseRound.of(this.members, suspect, endpoints);
     }
 
     /**
@@ -150,10 +151,11 @@
             case TAKE_DUTY -> takeDuty(now);
             case CLOSE -> close();
             case END_LEASE -> endLease(now);
+            case CHECK_CANDIDATE -> checkCandidate();
             case VOTE -> vote(now);
             case WAIT -> waitForEvidence(now);
             case CHOOSE -> choose(now);
-            case PROMOTE -> promote();
+            case PROMOTE -> promote(now);
             case CONFIRM -> confirm();
             case OPEN -> open();
             case FINISHED -> Duration.ZERO;
@@ -206,13 +208,11 @@
         }
         term = found.term();
         if (found.phase() == TermPhase.PROMOTING) {
-            // An earlier run ended all evidence before it recorded its candidate, which may have been promoted.
+            // An earlier run has chosen a candidate, which may have been promoted or still be.
             earlierCandidate = found.primary();
-            closedAt = Duration.ZERO;
-            GroupTerm own = found.in(TermPhase.PROMOTING, found.primary(), fencingToken);
-            return write(records.record().with(group, own), Step.CHOOSE);
+            promises = PromiseRound.withoutPrimary(members, endpoints);
         }
-        if (found.phase() == TermPhase.CLOSING && found.fencingToken() == fencingToken) {
+        if (found.phase() != TermPhase.OPEN && found.fencingToken() == fencingToken) {
             // A write of this run whose answer was lost.
             endingLeases = records.record().endingLeases();
             return next(Step.END_LEASE);
@@ -221,7 +221,8 @@
         if (lease.isLeft()) {
             return retry(lease.getLeft());
         }
-        GroupTerm closing = found.in(TermPhase.CLOSING, found.primary(), fencingToken);
+        TermPhase phase = found.phase() == TermPhase.PROMOTING ? TermPhase.PROMOTING : TermPhase.CLOSING;
+        GroupTerm closing = found.in(phase, found.primary(), fencingToken);
         TermRecord next = records.record().withLease(lease.get()).with(group, closing);
         endingLeases = next.endingLeases();
         return write(next, Step.END_LEASE);
@@ -235,16 +236,33 @@
             }
         }
         votingSince = now;
-        return next(Step.VOTE);
+        return next(earlierCandidate == null ? Step.VOTE : Step.CHECK_CANDIDATE);
+    }
+
+    /** Opens the term of the candidate of an earlier run at once if it leads. */
+    private Duration checkCandidate() {
+        EndpointEntry member = members.get(earlierCandidate);
+        boolean leads = member != null
+                && endpoints
+                        .status(member)
+                        .map(report -> report.leads() && report.term() > term)
+                        .getOrElse(false);
+        if (!leads) {
+            return next(Step.VOTE);
+        }
+        candidate = earlierCandidate;
+        return next(Step.CONFIRM);
     }
 
     private Duration vote(Duration now) {
-        if (promises.ask(term)) {
+        boolean all = promises.ask(term);
+        boolean enough = promises.hasAny() && now.minus(votingSince).compareTo(timings.gatherTime()) > 0;
+        if (all || enough) {
             return next(Step.WAIT);
         }
         cause = promises.cause();
         return now.minus(votingSince).compareTo(timings.voteLimit()) > 0
-                ? finish(FailoverOutcome.GIVEN_UP, "no majority of the endpoints answers: " + cause)
+                ? finish(FailoverOutcome.GIVEN_UP, "no endpoint answers: " + cause)
                 : timings.retryPause();
     }
 
@@ -259,22 +277,23 @@
 
     private Duration choose(Duration now) {
         Map<EndpointName, EndpointReport> reports = promises.reports();
-        Optional<EndpointName> leading = reports.entrySet().stream()
-                .filter(entry -> entry.getValue().role() == EndpointRole.PRIMARY
-                        && entry.getValue().term() > term)
-                .map(Map.Entry::getKey)
-                .findFirst();
-        Optional<EndpointName> best = leading.or(() -> Optional.ofNullable(earlierCandidate)
-                        .filter(name -> reports.containsKey(name) && !refused.contains(name)))
+        Optional<EndpointName> leading = promises.leading(reports, term);
+        // The fate of an earlier candidate must be known before another one is tried.
+        Optional<EndpointName> best = leading.or(
+                        () -> Optional.ofNullable(earlierCandidate).filter(name -> !refused.contains(name)))
                 .or(() -> promises.best(reports, refused));
         if (best.isEmpty()) {
             refused.clear();
             return retry(Failure.of(ErrorKind.NO_ELIGIBLE_ENDPOINT, "no endpoint can be promoted"));
         }
-        if (leading.isEmpty() && isCatchingUp(reports, best.get(), now)) {
+        boolean patient = now.minus(closedAt).compareTo(timings.evidenceEnd().plus(timings.catchUpLimit())) < 0;
+        if (leading.isEmpty() && patient && promises.isCatchingUp(best.get(), reports)) {
             return timings.retryPause().dividedBy(CATCH_UP_POLLS);
         }
         candidate = best.get();
+        if (leading.isEmpty() && !promises.allow(candidate, reports)) {
+            return voteAgain(now);
+        }
         return writeOwn(found -> found.in(TermPhase.PROMOTING, candidate, fencingToken), Step.PROMOTE);
     }
 
@@ -297,16 +316,20 @@
         return written.isRight() ? next(following) : retry(written.getLeft());
     }
 
-    /** Returns whether the stopped primary still holds commits that the candidate may receive. */
-    private boolean isCatchingUp(Map<EndpointName, EndpointReport> reports, EndpointName best, Duration now) {
-        EndpointReport old = reports.get(suspect);
-        return !best.equals(suspect)
-                && old != null
-                && old.received().compareTo(reports.get(best).received()) > 0
-                && now.minus(closedAt).compareTo(timings.evidenceEnd().plus(timings.catchUpLimit())) < 0;
+    /** Obtains the promises anew, as an endpoint that restarted has forgotten its own. */
+    private Duration voteAgain(Duration now) {
+        promises.forget();
+        closedAt = null;
+        votingSince = now;
+        step = Step.VOTE;
+        return timings.retryPause();
     }
 
-    private Duration promote() {
+    private Duration promote(Duration now) {
+        if (closedAt == null
+                || now.minus(closedAt).compareTo(timings.evidenceEnd().plus(timings.promiseAge())) > 0) {
+            return voteAgain(now);
+        }
         Either<Failure, PromotionAnswer> answer = promotions.promote(group, candidate, fencingToken);
         if (answer.isLeft()) {
             // It may have been carried out; only this candidate may be tried until its state is known.
@@ -317,9 +340,9 @@
             case ACCEPTED -> next(Step.CONFIRM);
             case BUSY -> timings.retryPause();
             case REFUSED -> {
+                // An earlier order may still take effect if the candidate comes back; the new round would show it.
                 refused.add(candidate);
-                step = Step.CHOOSE;
-                yield timings.retryPause();
+                yield voteAgain(now);
             }
         };
     }
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/PrimaryView.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/PrimaryView.java
@@ -13,6 +13,11 @@
  */
 public record PrimaryView(EndpointName primary, long term, Duration provenAt) {
 
+    /** Returns whether another view names the same primary in the same term; a primary may come back in a later one. */
+    public boolean isSameTerm(PrimaryView other) {
+        return term == other.term && primary.equals(other.primary);
+    }
+
     /** Returns the view with the later term, or with the later evidence for the same term. */
     public static PrimaryView newer(PrimaryView first, PrimaryView second) {
         if (first.term != second.term) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerSession.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerSession.java
@@ -228,7 +228,10 @@
         line.pause();
         if (bound == null) {
             proxy.dispatcher(work.route().group()).submit(work);
-        } else if (work.commitsWrites() && !proxy.isPrimary(work.route().group(), bound)) {
+            return;
+        }
+        work.sentUnder(proxy.provenPrimary(work.route().group(), bound));
+        if (work.commitsWrites() && work.sentUnder().isEmpty()) {
             failed(work, Failure.of(ErrorKind.TRANSACTION_ABORTED, "the primary may have been replaced"));
         } else {
             bound.run(work, Optional.empty());
@@ -269,12 +272,7 @@
         }
     }
 
-    /** The statement was refused before it went to an endpoint. */
-    void refused(Work work, Failure failure) {
-        failed(work, failure);
-    }
-
-    /** The statement failed, or its outcome is unknown. */
+    /** The statement was refused, failed, or its outcome is unknown. */
     void failed(Work work, Failure failure) {
         if (work.isTransactional()) {
             releaseTransaction();
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EndpointConnection.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EndpointConnection.java
@@ -110,6 +110,11 @@
         return Optional.ofNullable(running);
     }
 
+    /** Returns how long ago the connection was begun to be opened. */
+    Duration openFor() {
+        return loop.now().minus(openedAt);
+    }
+
     /** Returns when the oldest unanswered statement was sent, or when the connection was begun to be opened. */
     Optional<Duration> waitingSince() {
         if (closed) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EndpointQuestions.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EndpointQuestions.java
@@ -9,7 +9,8 @@
 import org.lavenderwick.adapters.session.EndpointCodec;
 import org.lavenderwick.core.error.Failure;
 import org.lavenderwick.core.failover.EndpointReport;
-import org.lavenderwick.core.failover.MajorityEvidence.TimedReport;
+import org.lavenderwick.core.failover.FailoverTimings;
+import org.lavenderwick.core.failover.UnanimousEvidence.TimedReport;
 import org.lavenderwick.core.model.EndpointName;
 import org.lavenderwick.core.replication.PositionHistory;
 
@@ -22,6 +23,9 @@
     /** Time between two questions to the same endpoint. */
     private static final Duration INTERVAL = Duration.ofMillis(400);
 
+    /** An endpoint that restarted may have forgotten a promise; older connections show that it did not restart. */
+    private static final Duration SETTLED = FailoverTimings.DEFAULTS.settledConnection();
+
     private final EventLoop loop;
     private final EndpointCodec codec;
     private final TermWatch terms;
@@ -52,9 +56,9 @@
         askedAt = now;
         pools.forEach((name, pool) -> {
             Optional<EndpointConnection> idle = pool.idle();
-            if (idle.isPresent()) {
+            if (idle.isPresent() && idle.get().openFor().compareTo(SETTLED) > 0) {
                 idle.get().askStatus(answer -> reported(name, answer));
-            } else {
+            } else if (idle.isEmpty()) {
                 pool.openOne();
             }
         });
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GroupDispatcher.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GroupDispatcher.java
@@ -108,7 +108,7 @@
     void submit(Work work) {
         Optional<Failure> refusal = admission.check(work, queue, parallel(work), primaryMissing());
         if (refusal.isPresent()) {
-            work.session().refused(work, refusal.get());
+            work.session().failed(work, refusal.get());
             return;
         }
         queue.add(work);
@@ -154,6 +154,7 @@
             EndpointPool pool = pools.get(chosen.get().name());
             Optional<EndpointConnection> connection = pool.idle(work.session().context());
             if (connection.isPresent()) {
+                work.sentUnder(terms.current(loop.now()));
                 work.session().started(work, connection.get());
                 connection.get().run(work, chosen.get().primary() ? Optional.empty() : after);
                 return true;
@@ -213,10 +214,10 @@
         pools.values().forEach(EndpointPool::closeSilent);
         pools.values().forEach(EndpointPool::probe);
         for (Work work : queue.removeIf(work -> now.compareTo(work.deadline()) >= 0)) {
-            work.session().refused(work, Failure.of(ErrorKind.DEADLINE_UNREACHABLE, "no endpoint was free in time"));
+            work.session().failed(work, Failure.of(ErrorKind.DEADLINE_UNREACHABLE, "no endpoint was free in time"));
         }
         for (Work work : queue.removeIf(work -> admission.isHopeless(work, now, primaryMissing()))) {
-            work.session().refused(work, Admission.noPrimary());
+            work.session().failed(work, Admission.noPrimary());
         }
         boolean running = false;
         for (EndpointPool pool : pools.values()) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
@@ -17,6 +17,7 @@
 import org.lavenderwick.core.catalog.DatabaseRoute;
 import org.lavenderwick.core.error.ErrorKind;
 import org.lavenderwick.core.error.Failure;
+import org.lavenderwick.core.failover.PrimaryView;
 import org.lavenderwick.core.model.EndpointName;
 import org.lavenderwick.core.model.FailureDomain;
 import org.lavenderwick.core.model.GroupName;
@@ -96,8 +97,12 @@
         });
     }
 
-    boolean isPrimary(GroupName group, EndpointConnection connection) {
-        return dispatcher(group).terms().isPrimary(connection.endpoint().name(), loop.now());
+    /** Returns the proof that the endpoint of a connection is the primary; empty if there is none that counts. */
+    Optional<PrimaryView> provenPrimary(GroupName group, EndpointConnection connection) {
+        return dispatcher(group)
+                .terms()
+                .current(loop.now())
+                .filter(view -> view.primary().equals(connection.endpoint().name()));
     }
 
     void ended(CallerSession session) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/TermWatch.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/TermWatch.java
@@ -8,9 +8,9 @@
 import java.util.Map;
 import java.util.Optional;
 
-import org.lavenderwick.core.failover.MajorityEvidence;
-import org.lavenderwick.core.failover.MajorityEvidence.TimedReport;
 import org.lavenderwick.core.failover.PrimaryView;
+import org.lavenderwick.core.failover.UnanimousEvidence;
+import org.lavenderwick.core.failover.UnanimousEvidence.TimedReport;
 import org.lavenderwick.core.model.EndpointName;
 
 /**
@@ -28,7 +28,7 @@
 
     /** An acknowledgement that waits for evidence that is later than its answer. */
     private record Waiting(
-            EndpointName endpoint, Duration answeredAt, Duration deadline, Runnable onProof, Runnable onDoubt) {}
+            PrimaryView sentUnder, Duration answeredAt, Duration deadline, Runnable onProof, Runnable onDoubt) {}
 
     TermWatch(Duration evidenceAge) {
         this.evidenceAge = evidenceAge;
@@ -44,7 +44,7 @@
     void report(EndpointName endpoint, TimedReport report, Collection<EndpointName> members, Duration now) {
         reports.put(endpoint, report);
         reports.keySet().retainAll(members);
-        fromEndpoints = MajorityEvidence.evaluate(members, reports);
+        fromEndpoints = UnanimousEvidence.evaluate(members, reports);
         settle(now);
     }
 
@@ -74,16 +74,14 @@
         return latest().map(view -> now.minus(view.provenAt()));
     }
 
-    boolean isPrimary(EndpointName endpoint, Duration now) {
-        return current(now).filter(view -> view.primary().equals(endpoint)).isPresent();
-    }
-
     /**
-     * Runs one of two actions: the first once it is proven that the endpoint was still the primary when it answered,
-     * the second when it is known not to be or the deadline passes.
+     * Runs one of two actions: the first once it is proven that a primary still led its term when it answered, the
+     * second when it is known not to or the deadline passes.
+     *
+     * @param sentUnder the primary to which the statement was sent, and its term
      */
-    void whenProven(EndpointName endpoint, Duration answeredAt, Duration deadline, Runnable onProof, Runnable onDoubt) {
-        waiting.add(new Waiting(endpoint, answeredAt, deadline, onProof, onDoubt));
+    void whenProven(PrimaryView sentUnder, Duration answeredAt, Duration deadline, Runnable onProof, Runnable onDoubt) {
+        waiting.add(new Waiting(sentUnder, answeredAt, deadline, onProof, onDoubt));
         settle(answeredAt);
     }
 
@@ -91,8 +89,7 @@
     boolean settle(Duration now) {
         Optional<PrimaryView> view = latest();
         for (Waiting ack : List.copyOf(waiting)) {
-            boolean same =
-                    view.filter(proof -> proof.primary().equals(ack.endpoint())).isPresent();
+            boolean same = view.filter(ack.sentUnder()::isSameTerm).isPresent();
             boolean proven = same && view.get().provenAt().plus(evidenceAge).compareTo(ack.answeredAt()) > 0;
             boolean replaced = view.isPresent() && !same;
             if (proven || replaced || now.compareTo(ack.deadline()) >= 0) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/Work.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/Work.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 
 import org.lavenderwick.core.catalog.DatabaseRoute;
+import org.lavenderwick.core.failover.PrimaryView;
 import org.lavenderwick.core.model.EndpointName;
 import org.lavenderwick.core.model.LogPoint;
 import org.lavenderwick.core.statement.PreparedStatement;
@@ -38,6 +39,7 @@
     private Duration notBefore;
     private Duration sentAt;
     private int sendings;
+    private Optional<PrimaryView> sentUnder = Optional.empty();
     private boolean abandoned;
 
     /**
@@ -153,6 +155,15 @@
         sendings++;
     }
 
+    /** Returns the primary that was proven when the statement was handed to a connection. */
+    Optional<PrimaryView> sentUnder() {
+        return sentUnder;
+    }
+
+    void sentUnder(Optional<PrimaryView> view) {
+        sentUnder = view;
+    }
+
     /** Returns how often the statement itself was sent to an endpoint. */
     int sendings() {
         return sendings;
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/WorkResults.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/WorkResults.java
@@ -48,11 +48,15 @@
             work.session().succeeded(work, answer);
             return;
         }
+        if (work.sentUnder().isEmpty()) {
+            work.session().failed(work, unknown("the primary was not proven when the statement was sent"));
+            return;
+        }
         Duration answeredAt = loop.now();
         dispatcher
                 .terms()
                 .whenProven(
-                        connection.endpoint().name(),
+                        work.sentUnder().orElseThrow(),
                         answeredAt,
                         work.deadline(),
                         () -> work.session().succeeded(work, answer),
