--- /dev/null
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/UnanimousEvidenceTest.java
@@ -0,0 +1,78 @@
+package org.lavenderwick.core.failover;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+import org.lavenderwick.core.catalog.EndpointRole;
+import org.lavenderwick.core.failover.UnanimousEvidence.TimedReport;
+import org.lavenderwick.core.model.EndpointName;
+import org.lavenderwick.core.model.LogPoint;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class UnanimousEvidenceTest {
+
+    private static final EndpointName PRIMARY = EndpointName.of("p");
+    private static final EndpointName FIRST = EndpointName.of("r1");
+    private static final EndpointName SECOND = EndpointName.of("r2");
+    private static final List<EndpointName> MEMBERS = List.of(PRIMARY, FIRST, SECOND);
+
+    private final Map<EndpointName, TimedReport> reports = new HashMap<>();
+
+    private void report(EndpointName name, long askedAt, EndpointRole role, long term, long promised) {
+        reports.put(
+                name,
+                new TimedReport(
+                        Duration.ofMillis(askedAt), new EndpointReport(role, term, LogPoint.of(term, 1), promised)));
+    }
+
+    private void calm() {
+        report(PRIMARY, 30, EndpointRole.PRIMARY, 2, 0);
+        report(FIRST, 10, EndpointRole.REPLICA, 2, 0);
+        report(SECOND, 20, EndpointRole.REPLICA, 2, 0);
+    }
+
+    @Test
+    void reachesToTheOldestQuestion() {
+        calm();
+        assertThat(UnanimousEvidence.evaluate(MEMBERS, reports))
+                .contains(new PrimaryView(PRIMARY, 2, Duration.ofMillis(10)));
+    }
+
+    @Test
+    void needsEveryMember() {
+        calm();
+        reports.remove(SECOND);
+        assertThat(UnanimousEvidence.evaluate(MEMBERS, reports)).isEmpty();
+    }
+
+    /** The replica that was not promoted has lost its pause and does not know of the new term yet. */
+    @Test
+    void endsWithTheTermOfThePromotedReplica() {
+        calm();
+        report(FIRST, 40, EndpointRole.PRIMARY, 3, 0);
+        assertThat(UnanimousEvidence.evaluate(MEMBERS, reports)).isEmpty();
+    }
+
+    @Test
+    void endsWithAPromise() {
+        calm();
+        report(FIRST, 40, EndpointRole.REPLICA, 2, 3);
+        assertThat(UnanimousEvidence.evaluate(MEMBERS, reports)).isEmpty();
+    }
+
+    @Test
+    void needsALeader() {
+        calm();
+        report(PRIMARY, 40, EndpointRole.REPLICA, 2, 0);
+        assertThat(UnanimousEvidence.evaluate(MEMBERS, reports)).isEmpty();
+    }
+
+    @Test
+    void isNotGivenForNoMembers() {
+        assertThat(UnanimousEvidence.evaluate(List.of(), reports)).isEmpty();
+    }
+}
--- /dev/null
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/statement/ConnectionContextTest.java
@@ -0,0 +1,107 @@
+package org.lavenderwick.core.statement;
+
+import java.util.Optional;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lavenderwick.core.admission.Access;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ConnectionContextTest {
+
+    private static final PreparedStatement READ = new PreparedStatement(Access.READ, "shape");
+
+    private final ConnectionContext connection = ConnectionContext.create();
+    private final SessionContext session = SessionContext.create();
+
+    @Nested
+    class Values {
+
+        @Test
+        void areSetOnce() {
+            session.set("zone", "a");
+            assertThat(connection.align(session, Optional.empty(), true))
+                    .containsExactly(new SetupStep.SetValue("zone", "a"));
+            assertThat(connection.align(session, Optional.empty(), true)).isEmpty();
+        }
+
+        @Test
+        void ofAnotherSessionAreCleared() {
+            SessionContext other = SessionContext.create();
+            other.set("zone", "a");
+            connection.align(other, Optional.empty(), true);
+            session.set("locale", "b");
+            assertThat(connection.align(session, Optional.empty(), true))
+                    .containsExactly(new SetupStep.Reset(), new SetupStep.SetValue("locale", "b"));
+        }
+
+        @Test
+        void ofAnotherSessionAreOverwrittenWithoutReset() {
+            SessionContext other = SessionContext.create();
+            other.set("zone", "a");
+            connection.align(other, Optional.empty(), true);
+            session.set("zone", "b");
+            assertThat(connection.align(session, Optional.empty(), true))
+                    .containsExactly(new SetupStep.SetValue("zone", "b"));
+        }
+
+        @Test
+        void areNeverClearedWithinATransaction() {
+            for (int index = 0; index < 200; index++) {
+                connection.align(session, Optional.of(new PreparedStatement(Access.READ, "s" + index)), false);
+            }
+            assertThat(connection.align(session, Optional.of(READ), false))
+                    .noneMatch(step -> step instanceof SetupStep.Reset);
+        }
+    }
+
+    @Nested
+    class Prepared {
+
+        @Test
+        void statementsOfEqualShapeShareOneName() {
+            connection.align(session, Optional.of(READ), true);
+            assertThat(connection.align(SessionContext.create(), Optional.of(READ), true))
+                    .isEmpty();
+        }
+
+        @Test
+        void readAndWriteOfOneShapeDiffer() {
+            PreparedStatement write = new PreparedStatement(Access.WRITE, "shape");
+            connection.align(session, Optional.of(READ), true);
+            connection.align(session, Optional.of(write), true);
+            assertThat(connection.nameOf(READ)).isNotEqualTo(connection.nameOf(write));
+        }
+
+        @Test
+        void statementThatTheEndpointForgotIsPreparedAgainUnderANewName() {
+            connection.align(session, Optional.of(READ), true);
+            Optional<String> before = connection.nameOf(READ);
+            connection.forget(READ);
+            assertThat(connection.align(session, Optional.of(READ), true)).hasSize(1);
+            assertThat(connection.nameOf(READ)).isNotEqualTo(before);
+        }
+
+        @Test
+        void statementsAreBounded() {
+            for (int index = 0; index < 128; index++) {
+                connection.align(session, Optional.of(new PreparedStatement(Access.READ, "s" + index)), true);
+            }
+            assertThat(connection.align(session, Optional.of(READ), true)).contains(new SetupStep.Reset());
+        }
+    }
+
+    @Nested
+    class Sessions {
+
+        @Test
+        void holdABoundedNumberOfValues() {
+            for (int index = 0; index < SessionContext.MAX_ENTRIES; index++) {
+                assertThat(session.set("v" + index, "x")).isTrue();
+            }
+            assertThat(session.set("one more", "x")).isFalse();
+            assertThat(session.set("v0", "y")).isTrue();
+        }
+    }
+}
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
@@ -47,6 +47,7 @@
     private final FleetControl control;
     private final MonotonicClock clock;
     private volatile boolean stopping;
+    private Thread controlThread;
 
     private SessionDaemon(
             SessionSettings settings, EventLoop loop, SessionProxy proxy, FleetControl control, MonotonicClock clock) {
@@ -84,13 +85,20 @@
         Acceptor.sessions(loop, settings.callerAddress(), proxy);
         Acceptor.readiness(loop, settings.readinessAddress(), new Readiness(new ReadyProbe(), daemon::isReady));
         control.follow();
-        startThread("control", control);
+        daemon.controlThread = startThread("control", control);
         startThread("traffic", loop);
         LOG.infof("[daemon] %s serves sessions at %s.", settings.daemon(), settings.callerAddress());
         return daemon;
     }
 
-    private static void startThread(String name, Runnable task) {
+    /** Ends the threads of the daemon at once. */
+    void close() {
+        loop.stop();
+        controlThread.interrupt();
+        control.close();
+    }
+
+    private static Thread startThread(String name, Runnable task) {
         Thread thread = new Thread(task, name);
         thread.setUncaughtExceptionHandler((failed, cause) -> {
             LOG.errorf(cause, "[daemon] The thread %s failed; the process ends.", failed.getName());
@@ -98,6 +106,7 @@
         });
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 
     private boolean isReady() {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
@@ -64,6 +64,7 @@
     private FleetView published = FleetView.EMPTY;
     private Duration renewedAt = Duration.ofSeconds(-1);
     private boolean loaded;
+    private Thread followerThread;
     private volatile boolean leaving;
     private volatile boolean configured;
 
@@ -99,9 +100,14 @@
 
     /** Starts to follow the store on a thread of its own. */
     public void follow() {
-        Thread thread = new Thread(follower, "store");
-        thread.setDaemon(true);
-        thread.start();
+        followerThread = new Thread(follower, "store");
+        followerThread.setDaemon(true);
+        followerThread.start();
+    }
+
+    /** Ends the thread that follows the store. */
+    public void close() {
+        followerThread.interrupt();
     }
 
     /** Returns whether a configuration is in force. May be called from any thread. */
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EventLoop.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EventLoop.java
@@ -131,6 +131,22 @@
             }
             flush();
         }
+        closeAll();
+    }
+
+    private void closeAll() {
+        for (SelectionKey key : List.copyOf(selector.keys())) {
+            try {
+                key.channel().close();
+            } catch (IOException e) {
+                LOG.debugf("[session] Close failed: %s", e);
+            }
+        }
+        try {
+            selector.close();
+        } catch (IOException e) {
+            LOG.debugf("[session] Close failed: %s", e);
+        }
     }
 
     private void runTasks() {
