--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/FailoverTimings.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/FailoverTimings.java
@@ -27,8 +27,8 @@
 
     /** The times that daemons use; all daemons of a fleet must use the same. */
     public static final FailoverTimings DEFAULTS = new FailoverTimings(
-            Duration.ofMillis(1200),
-            Duration.ofMillis(2500),
+            Duration.ofMillis(1000),
+            Duration.ofMillis(1500),
             Duration.ofMillis(100),
             Duration.ofSeconds(3),
             Duration.ofMillis(150),
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/Failovers.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/Failovers.java
@@ -108,7 +108,7 @@
         } else if (primary.draining()) {
             return Optional.of("the primary is leaving");
         } else if (votedOut) {
-            return Optional.of("a majority of the daemons cannot reach the primary");
+            return Optional.of("half of the daemons or more cannot reach the primary");
         } else if (primary.role() == EndpointRole.REPLICA) {
             return Optional.of("the primary has become a replica");
         }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
@@ -36,7 +36,7 @@
 public final class FleetControl implements Runnable {
 
     /** Time between renewals of the lease of the record of terms; several fit into the life of evidence. */
-    private static final Duration RENEWAL_INTERVAL = Duration.ofMillis(400);
+    private static final Duration RENEWAL_INTERVAL = Duration.ofMillis(300);
 
     /** Time between looks at what is due. */
     private static final Duration STEP = Duration.ofMillis(100);
@@ -203,7 +203,7 @@
             } else {
                 suspicions.update(
                         group, term.get().primary(), silent.contains(term.get().primary()), directory, clock.now());
-                boolean voted = suspicions.votes(group, term.get().primary(), directory) > daemons() / 2;
+                boolean voted = 2 * suspicions.votes(group, term.get().primary(), directory) >= daemons();
                 failovers.consider(group, term.get(), members, voted, rank(), clock.now());
             }
         }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EndpointPool.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EndpointPool.java
@@ -120,6 +120,13 @@
         return connections.stream().filter(EndpointConnection::isIdle).findFirst();
     }
 
+    /** Opens a first connection ahead of any work, as only those that have been open for a while can give evidence. */
+    void warmUp() {
+        if (connections.isEmpty() && !entry.draining()) {
+            openOne();
+        }
+    }
+
     /** Starts to open a connection unless one is being opened, all are open, or the last attempt is too recent. */
     void openOne() {
         boolean opening = connections.stream().anyMatch(connection -> !connection.isOpen());
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EndpointQuestions.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EndpointQuestions.java
@@ -18,10 +18,10 @@
 final class EndpointQuestions {
 
     /** Age of the proof from the record at which the endpoints are asked; renewals come several times as often. */
-    private static final Duration ASK_AFTER = Duration.ofMillis(800);
+    private static final Duration ASK_AFTER = Duration.ofMillis(600);
 
     /** Time between two questions to the same endpoint. */
-    private static final Duration INTERVAL = Duration.ofMillis(400);
+    private static final Duration INTERVAL = Duration.ofMillis(300);
 
     /** An endpoint that restarted may have forgotten a promise; older connections show that it did not restart. */
     private static final Duration SETTLED = FailoverTimings.DEFAULTS.settledConnection();
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GroupDispatcher.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GroupDispatcher.java
@@ -213,6 +213,7 @@
         terms.settle(now);
         pools.values().forEach(EndpointPool::closeSilent);
         pools.values().forEach(EndpointPool::probe);
+        pools.values().forEach(EndpointPool::warmUp);
         for (Work work : queue.removeIf(work -> now.compareTo(work.deadline()) >= 0)) {
             work.session().failed(work, Failure.of(ErrorKind.DEADLINE_UNREACHABLE, "no endpoint was free in time"));
         }
