Take an abandoned failover over at once, and count only own doubts

A daemon now starts a failover only if it finds the primary silent itself and a majority agrees, and a failover whose duty entry has lapsed is taken over after 200 ms.

--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/FailoverTimings.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/FailoverTimings.java
@@ -30,7 +30,7 @@
             Duration.ofMillis(1000),
             Duration.ofMillis(1500),
             Duration.ofMillis(100),
-            Duration.ofSeconds(3),
+            Duration.ofSeconds(2),
             Duration.ofMillis(150),
             Duration.ofSeconds(4),
             Duration.ofMillis(300),
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/Failovers.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/Failovers.java
@@ -30,6 +30,9 @@
     /** Time without progress after which a failover that another daemon began is taken over. */
     private static final Duration STALLED = Duration.ofMillis(3500);
 
+    /** Time after which a failover is taken over whose holder has lost the duty. */
+    private static final Duration ABANDONED = Duration.ofMillis(200);
+
     /** Time between attempts of one daemon for one group. */
     private static final Duration ATTEMPT_INTERVAL = Duration.ofMillis(700);
 
@@ -62,12 +65,18 @@
         this.clock = clock;
     }
 
-    /** Starts a failover of a group if it is called for and this daemon's turn has come. */
+    /**
+     * Starts a failover of a group if it is called for and this daemon's turn has come.
+     *
+     * @param votedOut whether a majority of the daemons, this one among them, cannot reach the primary
+     * @param underway whether a daemon has the duty for the group
+     */
     void consider(
             GroupName group,
             GroupTerm term,
             Map<EndpointName, EndpointEntry> members,
             boolean votedOut,
+            boolean underway,
             int rank,
             Duration now) {
         Optional<String> text = reason(term, members, votedOut);
@@ -82,7 +91,8 @@
             reason = new Reason(text.get(), term.primary(), now, term);
             reasons.put(group, reason);
         }
-        Duration patience = patience(term, members, votedOut).plus(RANK_DELAY.multipliedBy(Math.min(rank, MAX_RANK)));
+        Duration patience =
+                patience(term, members, votedOut, underway).plus(RANK_DELAY.multipliedBy(Math.min(rank, MAX_RANK)));
         boolean recent = attemptedAt
                         .getOrDefault(group, Duration.ofSeconds(-10))
                         .plus(ATTEMPT_INTERVAL)
@@ -108,16 +118,17 @@
         } else if (primary.draining()) {
             return Optional.of("the primary is leaving");
         } else if (votedOut) {
-            return Optional.of("half of the daemons or more cannot reach the primary");
+            return Optional.of("a majority of the daemons cannot reach the primary");
         } else if (primary.role() == EndpointRole.REPLICA) {
             return Optional.of("the primary has become a replica");
         }
         return Optional.empty();
     }
 
-    private static Duration patience(GroupTerm term, Map<EndpointName, EndpointEntry> members, boolean votedOut) {
+    private static Duration patience(
+            GroupTerm term, Map<EndpointName, EndpointEntry> members, boolean votedOut, boolean underway) {
         if (term.phase() != TermPhase.OPEN) {
-            return STALLED;
+            return underway ? STALLED : ABANDONED;
         }
         EndpointEntry primary = members.get(term.primary());
         boolean contradiction = primary != null && !primary.draining() && !votedOut;
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
@@ -16,6 +16,7 @@
 import org.lavenderwick.adapters.session.EndpointCodec;
 import org.lavenderwick.core.catalog.EndpointEntry;
 import org.lavenderwick.core.catalog.EndpointRole;
+import org.lavenderwick.core.failover.FailoverRun;
 import org.lavenderwick.core.failover.GroupTerm;
 import org.lavenderwick.core.failover.PromotionPort;
 import org.lavenderwick.core.failover.TermRecord;
@@ -203,8 +204,10 @@
             } else {
                 suspicions.update(
                         group, term.get().primary(), silent.contains(term.get().primary()), directory, clock.now());
-                boolean voted = 2 * suspicions.votes(group, term.get().primary(), directory) >= daemons();
-                failovers.consider(group, term.get(), members, voted, rank(), clock.now());
+                boolean suspected = silent.contains(term.get().primary());
+                boolean voted = suspected && suspicions.votes(group, term.get().primary(), directory) > daemons() / 2;
+                boolean underway = directory.entry(FailoverRun.dutyKey(group)).isPresent();
+                failovers.consider(group, term.get(), members, voted, underway, rank(), clock.now());
             }
         }
         failovers.report();
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/Suspicions.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/Suspicions.java
@@ -13,7 +13,7 @@
 import org.lavenderwick.core.store.StoreWrite;
 
 /**
- * Votes of the daemons that a primary does not answer them. A primary that half of the daemons or more cannot reach is
+ * Votes of the daemons that a primary does not answer them. A primary that a majority of the daemons cannot reach is
  * replaced; one that only some cannot reach is not. Confined to the control thread.
  */
 final class Suspicions {
