Let a few owners hold the connections of a group in a large fleet

67 daemons cannot share 47 connections of an endpoint, and its queue grew with the fleet. A group now has at most four owners per slot and one per three connections, spread over the failure domains; the other daemons pass sessions on line by line. All daemons of both small sites stay owners, so nothing changes there.

--- a/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/Addresses.java
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/Addresses.java
@@ -1,5 +1,7 @@
 package org.lavenderwick.adapters.settings;
 
+import java.net.InetSocketAddress;
+
 import com.google.common.net.HostAndPort;
 import com.google.common.net.InetAddresses;
 
@@ -26,6 +28,12 @@
         }
     }
 
+    /** Returns the address that a text of an IP address and a port stands for, without any name lookup. */
+    public static InetSocketAddress socketAddress(String text) {
+        HostAndPort parsed = HostAndPort.fromString(text);
+        return new InetSocketAddress(InetAddresses.forString(parsed.getHost()), parsed.getPort());
+    }
+
     /** Returns the text form of an IP address and a port, with brackets where IPv6 needs them. */
     public static String join(String ip, int port) {
         return HostAndPort.fromParts(ip, port).toString();
--- a/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/SessionSettings.java
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/SessionSettings.java
@@ -13,6 +13,7 @@
  * @param failureDomain the failure domain that the host stands in
  * @param callerAddress where sessions are accepted
  * @param readinessAddress where questions for readiness are answered
+ * @param peerAddress where sessions that other daemons relay are accepted
  * @param storeAddress where the store is
  * @param promotionAddress where promotions are ordered
  * @param changeBound time in which a change of the configuration must be in force
@@ -23,6 +24,7 @@
         FailureDomain failureDomain,
         InetSocketAddress callerAddress,
         InetSocketAddress readinessAddress,
+        InetSocketAddress peerAddress,
         InetSocketAddress storeAddress,
         InetSocketAddress promotionAddress,
         Duration changeBound,
--- a/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/SessionSettingsLoader.java
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/SessionSettingsLoader.java
@@ -1,12 +1,9 @@
 package org.lavenderwick.adapters.settings;
 
-import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
 
-import com.google.common.net.HostAndPort;
-import com.google.common.net.InetAddresses;
 import io.vavr.control.Either;
 import org.lavenderwick.core.model.DaemonName;
 import org.lavenderwick.core.model.FailureDomain;
@@ -40,6 +37,7 @@
         String domain = reader.text("failureDomain", "a name", text -> !text.isBlank());
         String callers = reader.text("callerAddress", ADDRESS, Addresses::isIpAndPort);
         String readiness = reader.text("readinessAddress", ADDRESS, Addresses::isIpAndPort);
+        String peer = reader.text("peerAddress", ADDRESS, Addresses::isIpAndPort);
         String store = reader.text("storeAddress", ADDRESS, Addresses::isIpAndPort);
         String promotion = reader.text("promotionAddress", ADDRESS, Addresses::isIpAndPort);
         Duration changeBound = reader.millis("configurationMs", MAX_CHANGE_BOUND, DEFAULT_CHANGE_BOUND);
@@ -51,16 +49,12 @@
         return new SessionSettings(
                 DaemonName.of(daemon),
                 FailureDomain.of(domain),
-                socketAddress(callers),
-                socketAddress(readiness),
-                socketAddress(store),
-                socketAddress(promotion),
+                Addresses.socketAddress(callers),
+                Addresses.socketAddress(readiness),
+                Addresses.socketAddress(peer),
+                Addresses.socketAddress(store),
+                Addresses.socketAddress(promotion),
                 changeBound,
                 stopTime);
     }
-
-    private static InetSocketAddress socketAddress(String text) {
-        HostAndPort parsed = HostAndPort.fromString(text);
-        return new InetSocketAddress(InetAddresses.forString(parsed.getHost()), parsed.getPort());
-    }
 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
@@ -14,6 +14,7 @@
 import org.lavenderwick.daemon.session.Acceptor;
 import org.lavenderwick.daemon.session.ClockGuard;
 import org.lavenderwick.daemon.session.EventLoop;
+import org.lavenderwick.daemon.session.Peer;
 import org.lavenderwick.daemon.session.Readiness;
 import org.lavenderwick.daemon.session.SessionProxy;
 import org.lavenderwick.platform.LineCallerCodec;
@@ -68,11 +69,13 @@
                 loop,
                 new LineCallerCodec(),
                 codec,
+                settings.daemon(),
                 settings.failureDomain(),
                 random,
                 ClockGuard.create(clock, InstantSource.system()));
         FleetControl control = new FleetControl(
                 settings.daemon(),
+                new Peer(settings.failureDomain(), settings.peerAddress()),
                 StoreClient.create(settings.storeAddress(), STORE_TIMEOUT),
                 codec,
                 PromoteCall.create(settings.promotionAddress(), settings.daemon(), PROMOTION_TIMEOUT),
@@ -83,6 +86,7 @@
                 proxy::suspects);
         SessionDaemon daemon = new SessionDaemon(settings, loop, proxy, control, clock);
         Acceptor.sessions(loop, settings.callerAddress(), proxy);
+        Acceptor.relayedSessions(loop, settings.peerAddress(), proxy);
         Acceptor.readiness(loop, settings.readinessAddress(), new Readiness(new ReadyProbe(), daemon::isReady));
         control.follow();
         daemon.controlThread = startThread("control", control);
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
@@ -29,6 +29,7 @@
 import org.lavenderwick.core.store.StoreWrite;
 import org.lavenderwick.core.time.MonotonicClock;
 import org.lavenderwick.daemon.session.FleetView;
+import org.lavenderwick.daemon.session.Peer;
 
 /**
  * The control thread: follows the store, keeps the evidence of terms and this daemon's entries, and starts failovers.
@@ -45,11 +46,10 @@
     /** Life of the entry that counts this daemon among those that share connections. */
     private static final Duration HOST_LEASE = Duration.ofSeconds(6);
 
-    static final String HOSTS_PREFIX = "hosts/";
-
     private static final Logger LOG = Logger.getLogger(FleetControl.class);
 
     private final DaemonName daemon;
+    private final String hostValue;
     private final FleetStore store;
     private final EndpointCodec codec;
     private final MonotonicClock clock;
@@ -72,12 +72,14 @@
     /**
      * Creates a control thread's work.
      *
+     * @param self how other daemons reach this one
      * @param changeBound time in which a change of the configuration must be in force
      * @param listener hears of each change of what is known, on the control thread
      * @param suspects returns the endpoints that do not answer this daemon; called on the control thread
      */
     public FleetControl(
             DaemonName daemon,
+            Peer self,
             FleetStore store,
             EndpointCodec codec,
             PromotionPort promotions,
@@ -87,6 +89,7 @@
             Consumer<FleetView> listener,
             Supplier<Set<EndpointName>> suspects) {
         this.daemon = daemon;
+        this.hostValue = Hosts.encode(self);
         this.store = store;
         this.codec = codec;
         this.clock = clock;
@@ -94,7 +97,7 @@
         this.terms = new TermKeeper(store, clock);
         this.suspicions = new Suspicions(daemon, store);
         this.failovers = new Failovers(daemon, store, codec, promotions, clock);
-        this.hostEntry = new LeasedEntry(store, HOSTS_PREFIX + daemon.value(), HOST_LEASE);
+        this.hostEntry = new LeasedEntry(store, Hosts.key(daemon), HOST_LEASE);
         this.listener = listener;
         this.suspects = suspects;
     }
@@ -152,7 +155,7 @@
             suspicions.withdraw();
             return;
         }
-        hostEntry.keep("", revisionOf(HOSTS_PREFIX + daemon.value()), clock.now());
+        hostEntry.keep(hostValue, revisionOf(Hosts.key(daemon)), clock.now());
         maintainGroups();
     }
 
@@ -176,13 +179,12 @@
         }
     }
 
-    private int daemons() {
-        return Math.max(1, directory.entriesUnder(HOSTS_PREFIX).size());
-    }
-
     private void publish() {
         FleetView view = new FleetView(
-                directory.catalog(), directory.endpoints(), terms.evidence().views(), daemons());
+                directory.catalog(),
+                directory.endpoints(),
+                terms.evidence().views(),
+                Hosts.decode(directory.entriesUnder(Hosts.PREFIX)));
         if (!view.equals(published)) {
             published = view;
             listener.accept(view);
@@ -205,7 +207,9 @@
                 suspicions.update(
                         group, term.get().primary(), silent.contains(term.get().primary()), directory, clock.now());
                 boolean suspected = silent.contains(term.get().primary());
-                boolean voted = suspected && suspicions.votes(group, term.get().primary(), directory) > daemons() / 2;
+                boolean voted = suspected
+                        && suspicions.votes(group, term.get().primary(), directory)
+                                > published.owners(group).size() / 2;
                 boolean underway = directory.entry(FailoverRun.dutyKey(group)).isPresent();
                 failovers.consider(group, term.get(), members, voted, underway, rank(), clock.now());
             }
@@ -215,10 +219,7 @@
 
     /** Returns the place of this daemon among the live ones, so that not all of them act at once. */
     private int rank() {
-        return directory
-                .entriesUnder(HOSTS_PREFIX)
-                .headMap(HOSTS_PREFIX + daemon.value())
-                .size();
+        return directory.entriesUnder(Hosts.PREFIX).headMap(Hosts.key(daemon)).size();
     }
 
     /** Records the primary of a group for the first time, the first daemon at once and the others later. */
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/Acceptor.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/Acceptor.java
@@ -39,8 +39,19 @@
 
     /** Accepts callers' sessions at an address. */
     public static void sessions(EventLoop loop, InetSocketAddress address, SessionProxy proxy) throws IOException {
+        sessions(loop, address, proxy, false);
+    }
+
+    /** Accepts sessions that other daemons relay at an address. */
+    public static void relayedSessions(EventLoop loop, InetSocketAddress address, SessionProxy proxy)
+            throws IOException {
+        sessions(loop, address, proxy, true);
+    }
+
+    private static void sessions(EventLoop loop, InetSocketAddress address, SessionProxy proxy, boolean relayed)
+            throws IOException {
         listen(loop, address, channel -> {
-            CallerSession session = proxy.newSession();
+            CallerConnection session = proxy.newSession(relayed);
             session.attach(LineConnection.accepted(loop, channel, session));
         });
     }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerSession.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerSession.java
@@ -39,6 +39,7 @@
     private final CallerCodec codec;
     private final CallerReplies replies;
     private final EventLoop loop;
+    private final Runnable onEnd;
     private final SessionContext context = SessionContext.create();
     private LineConnection line;
     private String database;
@@ -50,11 +51,13 @@
     private Optional<LogPoint> ownCommits = Optional.empty();
     private Duration lastActive;
 
-    CallerSession(SessionProxy proxy, CallerCodec codec, EventLoop loop) {
+    /** Creates a session; the last argument runs once it has ended. */
+    CallerSession(SessionProxy proxy, CallerCodec codec, EventLoop loop, Runnable onEnd) {
         this.proxy = proxy;
         this.codec = codec;
         this.replies = new CallerReplies(codec);
         this.loop = loop;
+        this.onEnd = onEnd;
         this.lastActive = loop.now();
     }
 
@@ -380,7 +383,7 @@
     }
 
     private void end() {
-        proxy.ended(this);
+        onEnd.run();
         if (current != null) {
             Work work = current;
             current = null;
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/Draining.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/Draining.java
@@ -21,11 +21,11 @@
         this.abortFrom = abortFrom;
     }
 
-    void tick(Duration now, Collection<CallerSession> sessions) {
+    void tick(Duration now, Collection<CallerConnection> sessions) {
         if (now.compareTo(closeFrom) < 0) {
             return;
         }
-        for (CallerSession session : List.copyOf(sessions)) {
+        for (CallerConnection session : List.copyOf(sessions)) {
             if (now.compareTo(abortFrom) >= 0) {
                 session.abortTransaction();
             }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GroupDispatcher.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GroupDispatcher.java
@@ -17,6 +17,7 @@
 import org.lavenderwick.core.error.Failure;
 import org.lavenderwick.core.failover.FailoverTimings;
 import org.lavenderwick.core.failover.PrimaryView;
+import org.lavenderwick.core.model.DaemonName;
 import org.lavenderwick.core.model.EndpointName;
 import org.lavenderwick.core.model.FailureDomain;
 import org.lavenderwick.core.model.GroupName;
@@ -26,9 +27,6 @@
 /** The work of one database group: its queue, its endpoints and its primary. Confined to the traffic thread. */
 final class GroupDispatcher implements EndpointConnection.Owner {
 
-    /** Connections of an endpoint that are left to failover orders and to daemons that are just starting. */
-    private static final int RESERVED_CONNECTIONS = 3;
-
     /** Pause before work goes again to an endpoint that refused it without running it. */
     private static final Duration REFUSED_PAUSE = Duration.ofMillis(15);
 
@@ -43,6 +41,7 @@
 
     private final EventLoop loop;
     private final EndpointCodec codec;
+    private final DaemonName daemon;
     private final FailureDomain domain;
     private final RandomGenerator random;
     private final GroupName group;
@@ -53,13 +52,18 @@
     private final WorkQueue queue = new WorkQueue();
     private final Admission admission = new Admission();
     private final EndpointQuestions questions;
-    private int daemons = 1;
-    private int maxConnections = RESERVED_CONNECTIONS + 1;
+    private List<DaemonName> owners = List.of();
 
     GroupDispatcher(
-            EventLoop loop, EndpointCodec codec, FailureDomain domain, RandomGenerator random, GroupName group) {
+            EventLoop loop,
+            EndpointCodec codec,
+            DaemonName daemon,
+            FailureDomain domain,
+            RandomGenerator random,
+            GroupName group) {
         this.loop = loop;
         this.codec = codec;
+        this.daemon = daemon;
         this.domain = domain;
         this.random = random;
         this.group = group;
@@ -79,10 +83,7 @@
                 members.put(name, entry);
             }
         });
-        view.catalog()
-                .map(catalog -> catalog.maxConnections().get(group))
-                .ifPresent(maximum -> maxConnections = maximum);
-        daemons = Math.max(1, view.daemons());
+        owners = view.owners(group);
         members.forEach((name, entry) -> {
             EndpointPool pool = pools.get(name);
             if (pool == null) {
@@ -91,7 +92,7 @@
             } else {
                 pool.update(entry);
             }
-            pool.maxConnections((maxConnections - RESERVED_CONNECTIONS) / daemons);
+            pool.maxConnections(owns() && !owners.isEmpty() ? view.sharedConnections(group) / owners.size() : 1);
         });
         pools.entrySet().removeIf(entry -> {
             if (members.containsKey(entry.getKey())) {
@@ -104,6 +105,16 @@
         dispatch();
     }
 
+    /** Returns the daemons that hold connections to the endpoints. */
+    List<DaemonName> owners() {
+        return owners;
+    }
+
+    /** Returns whether this daemon serves the group itself; so it does while it knows of no daemon. */
+    boolean owns() {
+        return owners.isEmpty() || owners.contains(daemon);
+    }
+
     /** Takes a statement that needs a connection. */
     void submit(Work work) {
         Optional<Failure> refusal = admission.check(work, queue, parallel(work), primaryMissing());
@@ -186,7 +197,7 @@
                         isPrimary,
                         pool.entry().domain().equals(domain),
                         pool.running(),
-                        EndpointChoice.limit(pool.entry().slots(), daemons),
+                        EndpointChoice.limit(pool.entry().slots(), Math.max(1, owners.size())),
                         pool.isSuspect()));
             }
         });
@@ -213,7 +224,9 @@
         terms.settle(now);
         pools.values().forEach(EndpointPool::closeSilent);
         pools.values().forEach(EndpointPool::probe);
-        pools.values().forEach(EndpointPool::warmUp);
+        if (owns()) {
+            pools.values().forEach(EndpointPool::warmUp);
+        }
         for (Work work : queue.removeIf(work -> now.compareTo(work.deadline()) >= 0)) {
             work.session().failed(work, Failure.of(ErrorKind.DEADLINE_UNREACHABLE, "no endpoint was free in time"));
         }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
@@ -1,11 +1,15 @@
 package org.lavenderwick.daemon.session;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
@@ -14,10 +18,12 @@
 import org.jboss.logging.Logger;
 import org.lavenderwick.adapters.session.CallerCodec;
 import org.lavenderwick.adapters.session.EndpointCodec;
+import org.lavenderwick.core.catalog.Catalog;
 import org.lavenderwick.core.catalog.DatabaseRoute;
 import org.lavenderwick.core.error.ErrorKind;
 import org.lavenderwick.core.error.Failure;
 import org.lavenderwick.core.failover.PrimaryView;
+import org.lavenderwick.core.model.DaemonName;
 import org.lavenderwick.core.model.EndpointName;
 import org.lavenderwick.core.model.FailureDomain;
 import org.lavenderwick.core.model.GroupName;
@@ -25,41 +31,50 @@
 /** All sessions of this daemon and the groups that serve them. Confined to the traffic thread, unless noted. */
 public final class SessionProxy implements EventLoop.Ticker {
 
+    /** Stands in for the idle time of transactions while no configuration is known; no transaction is open then. */
+    private static final Duration NO_LIMIT = Duration.ofDays(1);
+
     private static final Logger LOG = Logger.getLogger(SessionProxy.class);
 
     private final EventLoop loop;
     private final CallerCodec callerCodec;
     private final EndpointCodec endpointCodec;
+    private final DaemonName daemon;
     private final FailureDomain domain;
     private final RandomGenerator random;
     private final ClockGuard clockGuard;
     private final Map<GroupName, GroupDispatcher> dispatchers = new HashMap<>();
-    private final Set<CallerSession> sessions = new HashSet<>();
+    private final Set<CallerConnection> sessions = new HashSet<>();
     private FleetView view = FleetView.EMPTY;
     private Draining draining;
     private volatile Set<EndpointName> suspects = ImmutableSet.of();
     private volatile int openSessions;
+    private final Random shuffling;
 
     /** Creates a proxy without any session. */
     public SessionProxy(
             EventLoop loop,
             CallerCodec callerCodec,
             EndpointCodec endpointCodec,
+            DaemonName daemon,
             FailureDomain domain,
             RandomGenerator random,
             ClockGuard clockGuard) {
         this.loop = loop;
         this.callerCodec = callerCodec;
         this.endpointCodec = endpointCodec;
+        this.daemon = daemon;
         this.domain = domain;
         this.random = random;
         this.clockGuard = clockGuard;
+        this.shuffling = new Random(random.nextLong());
         loop.onTick(this);
         loop.afterWake(this::checkClock);
     }
 
-    CallerSession newSession() {
-        CallerSession session = new CallerSession(this, callerCodec, loop);
+    /** Returns a new session; one that a peer relays is always served here. */
+    CallerConnection newSession(boolean relayed) {
+        CallerConnection session = new CallerConnection(this, callerCodec, endpointCodec, loop, relayed);
         sessions.add(session);
         return session;
     }
@@ -91,7 +106,7 @@
 
     GroupDispatcher dispatcher(GroupName group) {
         return dispatchers.computeIfAbsent(group, name -> {
-            GroupDispatcher created = new GroupDispatcher(loop, endpointCodec, domain, random, name);
+            GroupDispatcher created = new GroupDispatcher(loop, endpointCodec, daemon, domain, random, name);
             created.apply(view);
             return created;
         });
@@ -105,7 +120,23 @@
                 .filter(view -> view.primary().equals(connection.endpoint().name()));
     }
 
-    void ended(CallerSession session) {
+    /**
+     * Returns the peers to which a session on a group may be relayed, the best first: owners in the failure domain of
+     * this daemon, then the others, each in random order. Empty if this daemon owns the group.
+     */
+    List<Peer> owners(GroupName group) {
+        GroupDispatcher dispatcher = dispatcher(group);
+        if (dispatcher.owns()) {
+            return List.of();
+        }
+        List<Peer> owners = new ArrayList<>();
+        dispatcher.owners().forEach(name -> owners.add(view.peers().get(name)));
+        Collections.shuffle(owners, shuffling);
+        owners.sort(Comparator.comparing(peer -> !peer.domain().equals(domain)));
+        return owners;
+    }
+
+    void ended(CallerConnection session) {
         sessions.remove(session);
     }
 
@@ -140,9 +171,8 @@
             found.addAll(dispatcher.suspects());
         }
         suspects = found.build();
-        view.catalog()
-                .ifPresent(catalog ->
-                        List.copyOf(sessions).forEach(session -> session.checkIdle(catalog.transactionIdle())));
+        Duration transactionIdle = view.catalog().map(Catalog::transactionIdle).orElse(NO_LIMIT);
+        List.copyOf(sessions).forEach(session -> session.tick(now, transactionIdle));
         if (draining != null) {
             draining.tick(now, sessions);
         }
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionDaemonTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionDaemonTest.java
@@ -49,6 +49,7 @@
                 FailureDomain.of("z1"),
                 address,
                 readiness,
+                freeAddress(),
                 store.address(),
                 database.ordersAddress(),
                 Duration.ofSeconds(3),
