Send lines that were queued before a connection stood

LineConnectionTest failed first. A daemon that is no owner any more closes its idle connections, and changes of the store that come close together are read at once.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/StoreFollower.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/StoreFollower.java
@@ -22,6 +22,9 @@
      */
     private static final int WATCHES_PER_BOUND = 2;
 
+    /** Pause between an answer with changes and the next watch; small beside the time in which a change must be known. */
+    private static final Duration GATHER_TIME = Duration.ofMillis(50);
+
     private static final Duration FIRST_BACKOFF = Duration.ofMillis(50);
     private static final Duration LONGEST_BACKOFF = Duration.ofMillis(800);
 
@@ -63,6 +66,7 @@
                 revision = read.get().revision();
                 if (complete || !read.get().changes().isEmpty()) {
                     readings.add(new Reading(complete, read.get()));
+                    gather();
                 }
             } else if (read.getLeft().kind() == ErrorKind.HISTORY_UNAVAILABLE) {
                 revision = -1;
@@ -72,6 +76,15 @@
         }
     }
 
+    /** Lets changes that come close together arrive in one answer, as when a whole fleet starts. */
+    private void gather() {
+        try {
+            Thread.sleep(GATHER_TIME.toMillis());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void succeeded() {
         backoff.reset();
         if (failing) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EndpointPool.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EndpointPool.java
@@ -80,8 +80,13 @@
         }
     }
 
+    /** Sets how many connections may be open; idle ones beyond it are closed. */
     void maxConnections(int maximum) {
         maxConnections = Math.max(1, maximum);
+        List<EndpointConnection> idle =
+                connections.stream().filter(EndpointConnection::isIdle).toList();
+        int surplus = connections.size() - maxConnections;
+        idle.stream().limit(Math.max(0, surplus)).forEach(connection -> connection.close("others need it"));
     }
 
     EndpointEntry entry() {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GroupDispatcher.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GroupDispatcher.java
@@ -101,6 +101,9 @@
             entry.getValue().closeIdle();
             return true;
         });
+        if (!owns()) {
+            pools.values().forEach(EndpointPool::closeIdle);
+        }
         terms.record(Optional.ofNullable(view.primaries().get(group)), loop.now());
         dispatch();
     }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/LineConnection.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/LineConnection.java
@@ -95,6 +95,8 @@
             channel.finishConnect();
             key.interestOps(SelectionKey.OP_READ);
             listener.connected();
+            // Lines may have been queued before the connection stood.
+            loop.flushLater(this);
         }
         if (!closed && ready.isWritable()) {
             flush();
--- /dev/null
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/LineConnectionTest.java
@@ -0,0 +1,145 @@
+package org.lavenderwick.daemon.session;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class LineConnectionTest {
+
+    private static final int TIMEOUT_MILLIS = 10_000;
+
+    private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
+    private EventLoop loop;
+    private ServerSocket server;
+    private LineConnection connection;
+
+    @BeforeEach
+    void start() throws IOException {
+        loop = EventLoop.open(() -> Duration.ofNanos(System.nanoTime()));
+        server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        server.setSoTimeout(TIMEOUT_MILLIS);
+        Thread thread = new Thread(loop, "traffic");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        loop.stop();
+        server.close();
+    }
+
+    /** Connects and queues a line before the connection is established. */
+    private Socket connectAndSend(String line) throws IOException {
+        loop.execute(() -> {
+            try {
+                InetSocketAddress address =
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort());
+                connection = LineConnection.connect(loop, address, new Recorder());
+                connection.send(line);
+            } catch (IOException e) {
+                events.add("failed " + e.getMessage());
+            }
+        });
+        Socket socket = server.accept();
+        socket.setSoTimeout(TIMEOUT_MILLIS);
+        return socket;
+    }
+
+    private static String readLine(Socket socket) throws IOException {
+        return new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1))
+                .readLine();
+    }
+
+    private String event() throws InterruptedException {
+        return events.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private static void write(Socket socket, String text) throws IOException {
+        OutputStream out = socket.getOutputStream();
+        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+    }
+
+    @Test
+    void lineThatWasQueuedBeforeTheConnectionStoodIsSent() throws IOException {
+        try (Socket socket = connectAndSend("CONNECT a b")) {
+            assertThat(readLine(socket)).isEqualTo("CONNECT a b");
+        }
+    }
+
+    @Test
+    void linesAreHandedOnWholeHoweverTheyArrive() throws Exception {
+        try (Socket socket = connectAndSend("x")) {
+            assertThat(event()).isEqualTo("connected");
+            write(socket, "one\r\ntw");
+            assertThat(event()).isEqualTo("one");
+            write(socket, "o\r");
+            write(socket, "\nthree\r\n");
+            assertThat(event()).isEqualTo("two");
+            assertThat(event()).isEqualTo("three");
+        }
+        assertThat(event()).isEqualTo("closed");
+    }
+
+    @Test
+    void pausedConnectionHandsNothingOnUntilItIsResumed() throws Exception {
+        try (Socket socket = connectAndSend("x")) {
+            assertThat(event()).isEqualTo("connected");
+            loop.execute(() -> connection.pause());
+            Thread.sleep(50);
+            write(socket, "one\r\n");
+            assertThat(events.poll(200, TimeUnit.MILLISECONDS)).isNull();
+            loop.execute(() -> connection.resume());
+            assertThat(event()).isEqualTo("one");
+        }
+    }
+
+    @Test
+    void strayLineEndIsMalformed() throws Exception {
+        try (Socket socket = connectAndSend("x")) {
+            assertThat(event()).isEqualTo("connected");
+            write(socket, "one\ntwo\r\n");
+            assertThat(event()).isEqualTo("malformed");
+        }
+    }
+
+    private final class Recorder implements LineConnection.Listener {
+
+        @Override
+        public void connected() {
+            events.add("connected");
+        }
+
+        @Override
+        public void line(String line) {
+            events.add(line);
+        }
+
+        @Override
+        public void closed(String reason) {
+            events.add("closed");
+        }
+
+        @Override
+        public void malformed(boolean tooLong) {
+            events.add("malformed");
+        }
+    }
+}
