--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/StoreFollower.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/StoreFollower.java
@@ -22,7 +22,7 @@
      */
     private static final int WATCHES_PER_BOUND = 2;
 
-    /** Pause between an answer with changes and the next watch; small beside the time in which a change must be known. */
+    /** Pause between an answer with changes and the next watch; small beside the time for a change to be known. */
     private static final Duration GATHER_TIME = Duration.ofMillis(50);
 
     private static final Duration FIRST_BACKOFF = Duration.ofMillis(50);
