Reload settings on SIGHUP or a silent change, and read once more after a failure

A SIGHUP ended the Java runtime, and with it the daemon; the settings are now read again at the signal or within a second of a change, faulty ones change nothing, and new addresses of the store and of promotions are used by the next call. A read that an endpoint ran and failed is tried once at another one.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/Main.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/Main.java
@@ -19,6 +19,7 @@
 import org.lavenderwick.adapters.settings.SessionSettingsLoader;
 import org.lavenderwick.adapters.settings.SettingsProblem;
 import org.lavenderwick.core.drain.DrainState;
+import sun.misc.Signal;
 
 /** The program {@code lavenderwickd}. */
 public final class Main {
@@ -96,7 +97,7 @@
         }
         Path file = Path.of(settings);
         return sessions
-                ? run(SessionSettingsLoader.load(file), Main::serveSessions)
+                ? run(SessionSettingsLoader.load(file), loaded -> serveSessions(loaded, file))
                 : run(DaemonSettingsLoader.load(file), Main::serve);
     }
 
@@ -109,7 +110,7 @@
         return check ? DONE : service.applyAsInt(loaded.get());
     }
 
-    private static int serveSessions(SessionSettings settings) {
+    private static int serveSessions(SessionSettings settings, Path file) {
         ConsoleLog.use();
         SessionDaemon daemon;
         try {
@@ -117,6 +118,9 @@
         } catch (IOException e) {
             return fail(FAILED, "the daemon does not start: " + e.getMessage());
         }
+        Runnable reload = daemon.followSettings(file);
+        // Without a handler the signal would end the process.
+        Signal.handle(new Signal("HUP"), signal -> reload.run());
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "stop"));
         return waitForStop();
     }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
@@ -1,9 +1,11 @@
 package org.lavenderwick.daemon;
 
 import java.io.IOException;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.random.RandomGenerator;
 
 import org.jboss.logging.Logger;
@@ -43,6 +45,7 @@
     private static final Logger LOG = Logger.getLogger(SessionDaemon.class);
 
     private final SessionSettings settings;
+    private final AtomicReference<SessionSettings> inForce;
     private final EventLoop loop;
     private final SessionProxy proxy;
     private final FleetControl control;
@@ -51,8 +54,14 @@
     private Thread controlThread;
 
     private SessionDaemon(
-            SessionSettings settings, EventLoop loop, SessionProxy proxy, FleetControl control, MonotonicClock clock) {
+            SessionSettings settings,
+            AtomicReference<SessionSettings> inForce,
+            EventLoop loop,
+            SessionProxy proxy,
+            FleetControl control,
+            MonotonicClock clock) {
         this.settings = settings;
+        this.inForce = inForce;
         this.loop = loop;
         this.proxy = proxy;
         this.control = control;
@@ -64,6 +73,7 @@
         MonotonicClock clock = () -> Duration.ofNanos(System.nanoTime());
         RandomGenerator random = new Random();
         EndpointCodec codec = new LineEndpointCodec();
+        AtomicReference<SessionSettings> inForce = new AtomicReference<>(settings);
         EventLoop loop = EventLoop.open(clock);
         SessionProxy proxy = new SessionProxy(
                 loop,
@@ -76,15 +86,15 @@
         FleetControl control = new FleetControl(
                 settings.daemon(),
                 new Peer(settings.failureDomain(), settings.peerAddress()),
-                StoreClient.create(settings.storeAddress(), STORE_TIMEOUT),
+                StoreClient.create(() -> inForce.get().storeAddress(), STORE_TIMEOUT),
                 codec,
-                PromoteCall.create(settings.promotionAddress(), settings.daemon(), PROMOTION_TIMEOUT),
+                PromoteCall.create(() -> inForce.get().promotionAddress(), settings.daemon(), PROMOTION_TIMEOUT),
                 clock,
                 random,
                 settings.changeBound(),
                 view -> loop.execute(() -> proxy.apply(view)),
                 proxy::suspects);
-        SessionDaemon daemon = new SessionDaemon(settings, loop, proxy, control, clock);
+        SessionDaemon daemon = new SessionDaemon(settings, inForce, loop, proxy, control, clock);
         Acceptor.sessions(loop, settings.callerAddress(), proxy);
         Acceptor.relayedSessions(loop, settings.peerAddress(), proxy);
         Acceptor.readiness(loop, settings.readinessAddress(), new Readiness(new ReadyProbe(), daemon::isReady));
@@ -113,6 +123,13 @@
         return thread;
     }
 
+    /** Follows the settings file; returns what asks for a reading at once. */
+    Runnable followSettings(Path file) {
+        SettingsReload reload = new SettingsReload(file, settings, inForce::set);
+        startThread("settings", reload);
+        return reload::request;
+    }
+
     private boolean isReady() {
         return !stopping && control.isConfigured();
     }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/WorkResults.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/WorkResults.java
@@ -38,6 +38,10 @@
                 work.behind().add(connection.endpoint().name());
             }
             notStarted(work, error.error());
+        } else if (error.error() == EndpointError.FAILED && mayReadAgain(work)) {
+            // An endpoint may fail part of its requests; another one shows whether the statement is at fault.
+            work.behind().add(connection.endpoint().name());
+            requeue(work);
         } else {
             work.session().failed(work, ran(work, error));
         }
@@ -90,10 +94,20 @@
             work.session().failed(work, aborted("the transaction could not be opened"));
             return;
         }
+        requeue(work);
+    }
+
+    private void requeue(Work work) {
         work.session().requeued(work);
         dispatcher.again(work);
     }
 
+    private boolean mayReadAgain(Work work) {
+        return !work.writes()
+                && work.sendings() < MAX_READ_SENDINGS
+                && loop.now().compareTo(work.deadline()) < 0;
+    }
+
     /** Handles work whose connection ended before the answer. */
     void unanswered(Work work) {
         boolean sent = work.sendings() > 0;
@@ -104,9 +118,8 @@
             work.session().failed(work, aborted("the connection to the endpoint was lost"));
         } else if (!sent) {
             notStarted(work, EndpointError.OVERLOADED);
-        } else if (work.sendings() < MAX_READ_SENDINGS && loop.now().compareTo(work.deadline()) < 0) {
-            work.session().requeued(work);
-            dispatcher.again(work);
+        } else if (mayReadAgain(work)) {
+            requeue(work);
         } else {
             work.session().failed(work, Failure.of(ErrorKind.STATEMENT_TIMEOUT, "the endpoint did not answer"));
         }
