--- /dev/null
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionChangesTest.java
@@ -0,0 +1,161 @@
+package org.lavenderwick.daemon;
+
+import java.io.IOException;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lavenderwick.platform.standin.DatabaseStandin;
+import org.lavenderwick.platform.standin.OperatorStandin;
+import org.lavenderwick.platform.standin.SessionClient;
+import org.lavenderwick.platform.standin.StoreStandin;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.lavenderwick.daemon.SessionFleet.await;
+import static org.lavenderwick.daemon.SessionFleet.succeeded;
+
+/** A daemon while the configuration, the directory, its endpoints or the store change, and when it stops. */
+class SessionChangesTest {
+
+    private SessionFleet fleet;
+    private SessionFleet.Member member;
+    private StoreStandin store;
+    private DatabaseStandin database;
+
+    @BeforeEach
+    void start() throws Exception {
+        fleet = new SessionFleet();
+        store = fleet.store();
+        database = fleet.database();
+        OperatorStandin.configure(store, 1, SessionFleet.DATABASE, "read_your_writes", SessionFleet.GROUP, 1000);
+        member = fleet.startDaemon();
+    }
+
+    @AfterEach
+    void stop() {
+        fleet.close();
+    }
+
+    private SessionClient open() throws IOException {
+        return SessionClient.open(member.address(), SessionFleet.DATABASE);
+    }
+
+    @Nested
+    class Fleet {
+
+        @Test
+        void configurationIsInForceWithinItsBound() throws Exception {
+            OperatorStandin.configure(store, 2, "renamed", "primary", "db", 1000);
+            await(() -> {
+                try (SessionClient client = SessionClient.connect(member.address())) {
+                    client.send("CONNECT renamed me");
+                    return client.answer().get(0).startsWith("READY I");
+                }
+            });
+            try (SessionClient client = SessionClient.connect(member.address())) {
+                client.send("CONNECT orders me");
+                assertThat(client.answer().get(0)).startsWith("ERROR NODB");
+            }
+        }
+
+        @Test
+        void configurationThatEveryWatchMissedIsFound() throws Exception {
+            store.deafWatches(true);
+            OperatorStandin.configure(store, 2, "renamed", "primary", "db", 1000);
+            store.deafWatches(false);
+            await(() -> {
+                try (SessionClient client = SessionClient.connect(member.address())) {
+                    client.send("CONNECT renamed me");
+                    return client.answer().get(0).startsWith("READY I");
+                }
+            });
+        }
+
+        @Test
+        void endpointThatLeavesGetsNoNewWork() throws Exception {
+            database.endpoint("db-2").drain();
+            database.endpoint("db-3").drain();
+            Thread.sleep(500);
+            int before = database.endpoint("db-2").ran().size()
+                    + database.endpoint("db-3").ran().size();
+            try (SessionClient client = open()) {
+                for (int index = 0; index < 20; index++) {
+                    assertThat(succeeded(client.query("READ start"))).isTrue();
+                }
+            }
+            assertThat(database.endpoint("db-2").ran().size()
+                            + database.endpoint("db-3").ran().size())
+                    .isEqualTo(before);
+        }
+
+        @Test
+        void primaryThatDiesIsReplaced() throws Exception {
+            try (SessionClient client = open()) {
+                client.query("WRITE kept 1");
+                database.endpoint("db-1").kill();
+                await(() -> succeeded(client.query("WRITE later 1")));
+                assertThat(client.query("READ kept").get(0)).isEqualTo("ROW 1");
+            }
+            assertThat(database.promotions()).hasSize(1);
+            assertThat(database.fences()).doesNotContain(0L);
+        }
+
+        @Test
+        void primaryThatFallsSilentIsReplaced() throws Exception {
+            try (SessionClient client = open()) {
+                database.endpoint("db-1").silent(true);
+                await(() -> succeeded(client.query("WRITE later 1")));
+            }
+            assertThat(database.promotions()).hasSize(1);
+        }
+
+        @Test
+        void primaryThatLeavesIsReplacedWithoutALostWrite() throws Exception {
+            try (SessionClient client = open()) {
+                client.query("WRITE kept 1");
+                database.endpoint("db-1").drain();
+                await(() -> !database.promotions().isEmpty());
+                await(() -> succeeded(client.query("WRITE later 1")));
+                assertThat(client.query("READ kept").get(0)).isEqualTo("ROW 1");
+            }
+        }
+
+        @Test
+        void readsGoOnForTheirAcceptedAgeWhileTheStoreIsDown() throws Exception {
+            try (SessionClient client = open()) {
+                client.query("WRITE a 1");
+                store.down(true);
+                for (int index = 0; index < 10; index++) {
+                    assertThat(succeeded(client.query("READ a"))).isTrue();
+                }
+                store.down(false);
+                await(() -> succeeded(client.query("WRITE b 1")));
+            }
+        }
+    }
+
+    @Nested
+    class Stop {
+
+        @Test
+        void leavesTheRotationAndClosesIdleSessions() throws Exception {
+            try (SessionClient probe = SessionClient.connect(member.readiness());
+                    SessionClient client = open()) {
+                Thread stopping = new Thread(() -> {
+                    try {
+                        member.daemon().stop();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                });
+                stopping.start();
+                Thread.sleep(100);
+                assertThat(probe.askReady()).startsWith("HTTP/1.1 503");
+                assertThat(succeeded(client.query("READ start"))).isTrue();
+                assertThat(client.answer()).containsExactly("closed");
+                stopping.join();
+            }
+        }
+    }
+}
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionDaemonTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionDaemonTest.java
@@ -1,12 +1,7 @@
 package org.lavenderwick.daemon;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.time.Duration;
 import java.util.List;
-import java.util.concurrent.Callable;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.AfterEach;
@@ -14,88 +9,40 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.lavenderwick.adapters.settings.SessionSettings;
-import org.lavenderwick.core.model.DaemonName;
-import org.lavenderwick.core.model.FailureDomain;
 import org.lavenderwick.platform.standin.DatabaseStandin;
 import org.lavenderwick.platform.standin.OperatorStandin;
 import org.lavenderwick.platform.standin.SessionClient;
 import org.lavenderwick.platform.standin.StoreStandin;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.lavenderwick.daemon.SessionFleet.succeeded;
 
 /** Runs a daemon against stand-ins of the platform, over real sockets. */
 class SessionDaemonTest {
 
-    /** Longest wait for something that must happen; a failover takes about four seconds. */
-    private static final Duration PATIENCE = Duration.ofSeconds(20);
-
+    private SessionFleet fleet;
+    private SessionFleet.Member member;
     private StoreStandin store;
     private DatabaseStandin database;
-    private SessionDaemon daemon;
-    private InetSocketAddress address;
-    private InetSocketAddress readiness;
 
     @BeforeEach
     void start() throws Exception {
-        store = StoreStandin.start();
-        database = DatabaseStandin.start("db", 3, store);
-        OperatorStandin.configure(store, 1, "orders", "read_your_writes", "db", 1000);
-        address = freeAddress();
-        readiness = freeAddress();
-        daemon = SessionDaemon.start(new SessionSettings(
-                DaemonName.of("d1"),
-                FailureDomain.of("z1"),
-                address,
-                readiness,
-                freeAddress(),
-                store.address(),
-                database.ordersAddress(),
-                Duration.ofSeconds(3),
-                Duration.ofSeconds(6)));
-        await(() -> {
-            try (SessionClient client = SessionClient.open(address, "orders")) {
-                return succeeded(client.query("WRITE start 1"));
-            }
-        });
+        fleet = new SessionFleet();
+        store = fleet.store();
+        database = fleet.database();
+        OperatorStandin.configure(store, 1, SessionFleet.DATABASE, "read_your_writes", SessionFleet.GROUP, 1000);
+        member = fleet.startDaemon();
     }
 
     @AfterEach
     void stop() {
-        daemon.close();
-        database.close();
-        store.close();
-    }
-
-    private static InetSocketAddress freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
-        }
-    }
-
-    private static void await(Callable<Boolean> condition) throws Exception {
-        long end = System.nanoTime() + PATIENCE.toNanos();
-        while (!condition.call()) {
-            assertThat(System.nanoTime()).as("time is up").isLessThan(end);
-            Thread.sleep(20);
-        }
-    }
-
-    private static boolean succeeded(List<String> answer) {
-        return answer.stream().anyMatch(line -> line.startsWith("COMPLETE digest"));
+        fleet.close();
     }
 
     private SessionClient open() throws IOException {
-        return SessionClient.open(address, "orders");
-    }
-
-    private long runsOf(String text) {
-        return IntStream.rangeClosed(1, 3)
-                .mapToObj(index -> database.endpoint("db-" + index).ran())
-                .flatMap(List::stream)
-                .filter(run -> run.contains(text))
-                .count();
+        return SessionClient.open(member.address(), SessionFleet.DATABASE);
     }
 
     @Nested
@@ -121,8 +68,8 @@
                 second.query("PARSE s READ y");
                 assertThat(succeeded(first.query("EXECUTE s item value"))).isTrue();
                 assertThat(second.query("EXECUTE s item").get(0)).isEqualTo("ROW value");
-                assertThat(runsOf("value {zone=a}")).isEqualTo(1);
-                assertThat(runsOf("EXECUTE p1 item {}") + runsOf("EXECUTE p2 item {}"))
+                assertThat(fleet.runsOf("value {zone=a}")).isEqualTo(1);
+                assertThat(fleet.runsOf("EXECUTE p1 item {}") + fleet.runsOf("EXECUTE p2 item {}"))
                         .isEqualTo(1);
             }
         }
@@ -142,7 +89,7 @@
             try (SessionClient client = open()) {
                 database.endpoint("db-1").nextAnswer("BUSY");
                 assertThat(succeeded(client.query("WRITE a 1"))).isTrue();
-                assertThat(runsOf("WRITE a 1")).isEqualTo(1);
+                assertThat(fleet.runsOf("WRITE a 1")).isEqualTo(1);
             }
         }
 
@@ -152,7 +99,7 @@
             try (SessionClient client = open()) {
                 database.endpoint("db-1").nextAnswer(fault);
                 assertThat(client.query("WRITE a 1").get(0)).startsWith("ERROR INDOUBT");
-                assertThat(runsOf("WRITE a 1")).isEqualTo(1);
+                assertThat(fleet.runsOf("WRITE a 1")).isEqualTo(1);
                 assertThat(succeeded(client.query("READ a"))).isTrue();
             }
         }
@@ -247,7 +194,7 @@
                 client.query("WRITE a 1");
                 Thread.sleep(1500);
                 assertThat(client.query("COMMIT").get(0)).startsWith("ERROR ABORTED");
-                assertThat(runsOf("COMMIT")).isZero();
+                assertThat(fleet.runsOf("COMMIT")).isZero();
             }
         }
 
@@ -267,7 +214,7 @@
 
         @Test
         void ofAnUnknownDatabaseIsRefused() throws IOException {
-            try (SessionClient client = SessionClient.connect(address)) {
+            try (SessionClient client = SessionClient.connect(member.address())) {
                 client.send("CONNECT nothing me");
                 assertThat(client.answer().get(0)).startsWith("ERROR NODB");
             }
@@ -284,11 +231,11 @@
                 assertThat(answer).endsWith("closed");
                 assertThat(succeeded(good.query("READ start"))).isTrue();
             }
-            assertThat(runsOf("READ b") + runsOf("READ d")).isZero();
+            assertThat(fleet.runsOf("READ b") + fleet.runsOf("READ d")).isZero();
         }
 
         @ParameterizedTest
-        @ValueSource(strings = {"STATUS", "AFTERLSN 1.0 READ a", "PAUSE 9", "READ", "DROP a", "WRITE a"})
+        @MethodSource("org.lavenderwick.platform.standin.SessionClient#statementsThatCallersMayNotSend")
         void thatIsNoStatementIsRefused(String text) throws IOException {
             try (SessionClient client = open()) {
                 assertThat(client.query(text).get(0)).startsWith("ERROR MALFORMED");
@@ -307,126 +254,7 @@
                     assertThat(e).hasMessageMatching("(?i).*(reset|broken pipe).*");
                 }
             }
-            assertThat(runsOf("yyy")).isZero();
-        }
-    }
-
-    @Nested
-    class Fleet {
-
-        @Test
-        void configurationIsInForceWithinItsBound() throws Exception {
-            OperatorStandin.configure(store, 2, "renamed", "primary", "db", 1000);
-            await(() -> {
-                try (SessionClient client = SessionClient.connect(address)) {
-                    client.send("CONNECT renamed me");
-                    return client.answer().get(0).startsWith("READY I");
-                }
-            });
-            try (SessionClient client = SessionClient.connect(address)) {
-                client.send("CONNECT orders me");
-                assertThat(client.answer().get(0)).startsWith("ERROR NODB");
-            }
-        }
-
-        @Test
-        void configurationThatEveryWatchMissedIsFound() throws Exception {
-            store.deafWatches(true);
-            OperatorStandin.configure(store, 2, "renamed", "primary", "db", 1000);
-            store.deafWatches(false);
-            await(() -> {
-                try (SessionClient client = SessionClient.connect(address)) {
-                    client.send("CONNECT renamed me");
-                    return client.answer().get(0).startsWith("READY I");
-                }
-            });
-        }
-
-        @Test
-        void endpointThatLeavesGetsNoNewWork() throws Exception {
-            database.endpoint("db-2").drain();
-            database.endpoint("db-3").drain();
-            Thread.sleep(500);
-            int before = database.endpoint("db-2").ran().size()
-                    + database.endpoint("db-3").ran().size();
-            try (SessionClient client = open()) {
-                for (int index = 0; index < 20; index++) {
-                    assertThat(succeeded(client.query("READ start"))).isTrue();
-                }
-            }
-            assertThat(database.endpoint("db-2").ran().size()
-                            + database.endpoint("db-3").ran().size())
-                    .isEqualTo(before);
-        }
-
-        @Test
-        void primaryThatDiesIsReplaced() throws Exception {
-            try (SessionClient client = open()) {
-                client.query("WRITE kept 1");
-                database.endpoint("db-1").kill();
-                await(() -> succeeded(client.query("WRITE later 1")));
-                assertThat(client.query("READ kept").get(0)).isEqualTo("ROW 1");
-            }
-            assertThat(database.promotions()).hasSize(1);
-            assertThat(database.fences()).doesNotContain(0L);
-        }
-
-        @Test
-        void primaryThatFallsSilentIsReplaced() throws Exception {
-            try (SessionClient client = open()) {
-                database.endpoint("db-1").silent(true);
-                await(() -> succeeded(client.query("WRITE later 1")));
-            }
-            assertThat(database.promotions()).hasSize(1);
-        }
-
-        @Test
-        void primaryThatLeavesIsReplacedWithoutALostWrite() throws Exception {
-            try (SessionClient client = open()) {
-                client.query("WRITE kept 1");
-                database.endpoint("db-1").drain();
-                await(() -> !database.promotions().isEmpty());
-                await(() -> succeeded(client.query("WRITE later 1")));
-                assertThat(client.query("READ kept").get(0)).isEqualTo("ROW 1");
-            }
-        }
-
-        @Test
-        void readsGoOnForTheirAcceptedAgeWhileTheStoreIsDown() throws Exception {
-            try (SessionClient client = open()) {
-                client.query("WRITE a 1");
-                store.down(true);
-                for (int index = 0; index < 10; index++) {
-                    assertThat(succeeded(client.query("READ a"))).isTrue();
-                }
-                store.down(false);
-                await(() -> succeeded(client.query("WRITE b 1")));
-            }
-        }
-    }
-
-    @Nested
-    class Stop {
-
-        @Test
-        void leavesTheRotationAndClosesIdleSessions() throws Exception {
-            try (SessionClient probe = SessionClient.connect(readiness);
-                    SessionClient client = open()) {
-                Thread stopping = new Thread(() -> {
-                    try {
-                        daemon.stop();
-                    } catch (InterruptedException e) {
-                        Thread.currentThread().interrupt();
-                    }
-                });
-                stopping.start();
-                Thread.sleep(100);
-                probe.send("GET /lavenderwick/ready HTTP/1.1\r\n");
-                assertThat(probe.line()).startsWith("HTTP/1.1 503");
-                assertThat(succeeded(client.query("READ start"))).isTrue();
-                assertThat(client.answer()).containsExactly("closed");
-                stopping.join();
-            }
+            assertThat(fleet.runsOf("yyy")).isZero();
         }
     }
 }
--- /dev/null
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionFleet.java
@@ -0,0 +1,115 @@
+package org.lavenderwick.daemon;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.stream.IntStream;
+
+import org.lavenderwick.adapters.settings.SessionSettings;
+import org.lavenderwick.core.model.DaemonName;
+import org.lavenderwick.core.model.FailureDomain;
+import org.lavenderwick.platform.standin.DatabaseStandin;
+import org.lavenderwick.platform.standin.SessionClient;
+import org.lavenderwick.platform.standin.StoreStandin;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Daemons and stand-ins of the platform, in one process over real sockets. */
+final class SessionFleet implements AutoCloseable {
+
+    static final String DATABASE = "orders";
+    static final String GROUP = "db";
+
+    /** Longest wait for something that must happen; a failover takes about four seconds. */
+    private static final Duration PATIENCE = Duration.ofSeconds(20);
+
+    private static final int ENDPOINTS = 3;
+
+    /** One daemon with the addresses that it listens at. */
+    record Member(SessionDaemon daemon, InetSocketAddress address, InetSocketAddress readiness) {}
+
+    private final StoreStandin store;
+    private final DatabaseStandin database;
+    private final List<Member> members = new ArrayList<>();
+
+    SessionFleet() throws IOException {
+        store = StoreStandin.start();
+        database = DatabaseStandin.start(GROUP, ENDPOINTS, store);
+    }
+
+    StoreStandin store() {
+        return store;
+    }
+
+    DatabaseStandin database() {
+        return database;
+    }
+
+    /** Starts a daemon and waits until it serves. */
+    Member startDaemon() throws Exception {
+        int number = members.size() + 1;
+        InetSocketAddress address = freeAddress();
+        InetSocketAddress readiness = freeAddress();
+        SessionDaemon daemon = SessionDaemon.start(new SessionSettings(
+                DaemonName.of("d" + number),
+                FailureDomain.of("z" + number),
+                address,
+                readiness,
+                freeAddress(),
+                store.address(),
+                database.ordersAddress(),
+                Duration.ofSeconds(3),
+                Duration.ofSeconds(6)));
+        Member member = new Member(daemon, address, readiness);
+        members.add(member);
+        awaitService(member);
+        return member;
+    }
+
+    void awaitService(Member member) throws Exception {
+        await(() -> {
+            try (SessionClient client = SessionClient.open(member.address(), DATABASE)) {
+                return succeeded(client.query("WRITE start 1"));
+            }
+        });
+    }
+
+    static void await(Callable<Boolean> condition) throws Exception {
+        long end = System.nanoTime() + PATIENCE.toNanos();
+        while (!condition.call()) {
+            assertThat(System.nanoTime()).as("time is up").isLessThan(end);
+            Thread.sleep(20);
+        }
+    }
+
+    static boolean succeeded(List<String> answer) {
+        return answer.stream().anyMatch(line -> line.startsWith("COMPLETE digest"));
+    }
+
+    /** Returns how many statements that contain a text ran at any endpoint. */
+    long runsOf(String text) {
+        return IntStream.rangeClosed(1, ENDPOINTS)
+                .mapToObj(index -> database.endpoint(GROUP + "-" + index).ran())
+                .flatMap(List::stream)
+                .filter(run -> run.contains(text))
+                .count();
+    }
+
+    private static InetSocketAddress freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
+        }
+    }
+
+    @Override
+    public void close() {
+        members.forEach(member -> member.daemon().close());
+        database.close();
+        store.close();
+    }
+}
