--- a/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/session/EndpointCodec.java
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/session/EndpointCodec.java
@@ -41,9 +41,6 @@
     /** Returns the line that stops a replica from receiving the log of earlier terms. */
     String pause(long term);
 
-    /** Returns the line that lets a paused replica receive the log again. */
-    String resume();
-
     /** Returns the line that makes a primary of an earlier term a replica. */
     String stepDown(long term);
 
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/EndpointControl.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/EndpointControl.java
@@ -13,9 +13,6 @@
     /** Stops a replica from receiving the log of earlier terms than the given one. */
     Either<Failure, EndpointReport> pause(EndpointEntry endpoint, long term);
 
-    /** Lets a paused replica receive the log again. */
-    Either<Failure, EndpointReport> resume(EndpointEntry endpoint);
-
     /** Makes a primary of an earlier term than the given one a replica. */
     Either<Failure, EndpointReport> stepDown(EndpointEntry endpoint, long term);
 }
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SimulatedGroup.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SimulatedGroup.java
@@ -149,12 +149,6 @@
         return report(endpoint.name());
     }
 
-    @Override
-    public Either<Failure, EndpointReport> resume(EndpointEntry endpoint) {
-        endpoints.get(endpoint.name()).held = 0;
-        return report(endpoint.name());
-    }
-
     @Override
     public Either<Failure, EndpointReport> stepDown(EndpointEntry endpoint, long term) {
         Endpoint found = endpoints.get(endpoint.name());
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/EndpointOrders.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/EndpointOrders.java
@@ -48,11 +48,6 @@
         return ask(endpoint, codec.pause(term));
     }
 
-    @Override
-    public Either<Failure, EndpointReport> resume(EndpointEntry endpoint) {
-        return ask(endpoint, codec.resume());
-    }
-
     @Override
     public Either<Failure, EndpointReport> stepDown(EndpointEntry endpoint, long term) {
         return ask(endpoint, codec.stepDown(term));
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/Failovers.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/Failovers.java
@@ -170,7 +170,7 @@
     }
 
     /** Forgets the failovers that have ended. */
-    void report() {
+    void forgetEnded() {
         running.values().removeIf(thread -> !thread.isAlive());
     }
 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
@@ -214,7 +214,7 @@
                 failovers.consider(group, term.get(), members, voted, underway, rank(), clock.now());
             }
         }
-        failovers.report();
+        failovers.forgetEnded();
     }
 
     /** Returns the place of this daemon among the live ones, so that not all of them act at once. */
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EndpointPool.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EndpointPool.java
@@ -102,10 +102,6 @@
         return (int) connections.stream().filter(EndpointConnection::isRunning).count();
     }
 
-    boolean hasConnections() {
-        return !connections.isEmpty();
-    }
-
     /** Returns an idle connection, if possible one that already has the values of the session. */
     Optional<EndpointConnection> idle(SessionContext session) {
         EndpointConnection found = null;
