--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/store/StoreChange.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/store/StoreChange.java
@@ -13,9 +13,12 @@
     /** An endpoint registered itself or changed its entry. */
     record EndpointChanged(EndpointEntry entry) implements StoreChange {}
 
-    /** An endpoint has no entry any more, or one that cannot be used. */
+    /** An endpoint has no entry any more. */
     record EndpointRemoved(EndpointName name) implements StoreChange {}
 
+    /** The entry of an endpoint cannot be used, so it names no endpoint. */
+    record EndpointUnusable(EndpointName name, String reason) implements StoreChange {}
+
     /** An entry of the fleet was written. */
     record EntryChanged(StoreEntry entry) implements StoreChange {}
 
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/Directory.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/Directory.java
@@ -27,6 +27,9 @@
      */
     static final Duration REMOVAL_GRACE = Duration.ofMillis(2500);
 
+    /** Entries whose faults are logged, each once; bounds the memory that a faulty writer can take. */
+    private static final int MAX_REPORTED = 1000;
+
     private static final Logger LOG = Logger.getLogger(Directory.class);
 
     private final Map<EndpointName, EndpointEntry> endpoints = new HashMap<>();
@@ -56,15 +59,28 @@
             endpoints.put(changed.entry().name(), changed.entry());
             removedAt.remove(changed.entry().name());
         } else if (change instanceof StoreChange.EndpointRemoved removed) {
-            if (endpoints.containsKey(removed.name())) {
-                removedAt.putIfAbsent(removed.name(), now);
-            }
+            remove(removed.name(), now);
+        } else if (change instanceof StoreChange.EndpointUnusable unusable) {
+            remove(unusable.name(), now);
+            reportOnce(unusable.name().value(), unusable.reason());
         } else if (change instanceof StoreChange.EntryChanged changed) {
             entries.put(changed.entry().key(), changed.entry());
         } else if (change instanceof StoreChange.EntryRemoved removed) {
             entries.remove(removed.key());
-        } else if (change instanceof StoreChange.Undecodable bad && reported.add(bad.key())) {
-            LOG.warnf("[fleet] The entry %s is ignored: %s.", bad.key(), bad.reason());
+        } else if (change instanceof StoreChange.Undecodable bad) {
+            reportOnce(bad.key(), bad.reason());
+        }
+    }
+
+    private void remove(EndpointName name, Duration now) {
+        if (endpoints.containsKey(name)) {
+            removedAt.putIfAbsent(name, now);
+        }
+    }
+
+    private void reportOnce(String entry, String reason) {
+        if (reported.size() < MAX_REPORTED && reported.add(entry)) {
+            LOG.warnf("[fleet] The entry %s is ignored: %s.", entry, reason);
         }
     }
 
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/LeasedEntry.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/LeasedEntry.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 
 import io.vavr.control.Either;
+import org.jboss.logging.Logger;
 import org.lavenderwick.core.error.ErrorKind;
 import org.lavenderwick.core.error.Failure;
 import org.lavenderwick.core.store.FleetStore;
@@ -11,6 +12,8 @@
 /** An entry of this daemon that ends with its lease, and so disappears when the daemon does. Confined to one thread. */
 final class LeasedEntry {
 
+    private static final Logger LOG = Logger.getLogger(LeasedEntry.class);
+
     private final FleetStore store;
     private final String key;
     private final Duration timeToLive;
@@ -47,7 +50,8 @@
                 .peek(written -> {
                     lease = granted.get();
                     renewedAt = now;
-                });
+                })
+                .peekLeft(failure -> LOG.debugf("[fleet] The entry %s was not written: %s", key, failure.detail()));
     }
 
     /** Removes the entry, if this daemon has written it. */
