--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/FailoverRun.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/FailoverRun.java
@@ -65,6 +65,7 @@
     private final FailoverTimings timings;
     private final TermRecordStore records;
     private PromiseRound promises;
+    private TermRecordStore.Versioned terms = TermRecordStore.Versioned.NONE;
 
     private Step step = Step.TAKE_DUTY;
     private FailoverOutcome outcome = FailoverOutcome.RUNNING;
@@ -96,7 +97,7 @@
         this.endpoints = endpoints;
         this.promotions = promotions;
         this.timings = timings;
-        this.records = new TermRecordStore(store);
+        this.records = TermRecordStore.of(store);
         this.promises = PromiseRound.of(this.members, suspect, endpoints);
     }
 
@@ -197,7 +198,7 @@
     }
 
     private Duration close() {
-        Either<Failure, Optional<GroupTerm>> current = records.read(group);
+        Either<Failure, Optional<GroupTerm>> current = readTerm();
         if (current.isLeft()) {
             return retry(current.getLeft());
         }
@@ -214,7 +215,7 @@
         }
         if (found.phase() != TermPhase.OPEN && found.fencingToken() == fencingToken) {
             // A write of this run whose answer was lost.
-            endingLeases = records.record().endingLeases();
+            endingLeases = terms.record().endingLeases();
             return next(Step.END_LEASE);
         }
         Either<Failure, Long> lease = store.grantLease(TermLease.TIME_TO_LIVE);
@@ -223,7 +224,7 @@
         }
         TermPhase phase = found.phase() == TermPhase.PROMOTING ? TermPhase.PROMOTING : TermPhase.CLOSING;
         GroupTerm closing = found.in(phase, found.primary(), fencingToken);
-        TermRecord next = records.record().withLease(lease.get()).with(group, closing);
+        TermRecord next = terms.record().withLease(lease.get()).with(group, closing);
         endingLeases = next.endingLeases();
         return write(next, Step.END_LEASE);
     }
@@ -299,7 +300,7 @@
 
     /** Writes the next state of the group, if the record still carries the token of this run. */
     private Duration writeOwn(UnaryOperator<GroupTerm> change, Step following) {
-        Either<Failure, Optional<GroupTerm>> current = records.read(group);
+        Either<Failure, Optional<GroupTerm>> current = readTerm();
         if (current.isLeft()) {
             return retry(current.getLeft());
         }
@@ -307,12 +308,18 @@
         if (found == null || found.fencingToken() != fencingToken) {
             return finish(FailoverOutcome.GIVEN_UP, "another daemon changed the record");
         }
-        TermRecord next = records.record().withoutEnded(endingLeases).with(group, change.apply(found));
+        TermRecord next = terms.record().withoutEnded(endingLeases).with(group, change.apply(found));
         return write(next, following);
     }
 
+    private Either<Failure, Optional<GroupTerm>> readTerm() {
+        return records.read()
+                .peek(read -> terms = read)
+                .map(read -> read.record().group(group));
+    }
+
     private Duration write(TermRecord next, Step following) {
-        Either<Failure, Long> written = records.write(next);
+        Either<Failure, Long> written = records.write(next, terms.revision());
         return written.isRight() ? next(following) : retry(written.getLeft());
     }
 
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
@@ -93,7 +93,7 @@
                 random,
                 settings.changeBound(),
                 view -> loop.execute(() -> proxy.apply(view)),
-                proxy::suspects);
+                proxy);
         SessionDaemon daemon = new SessionDaemon(settings, inForce, loop, proxy, control, clock);
         Acceptor.sessions(loop, settings.callerAddress(), proxy);
         Acceptor.relayedSessions(loop, settings.peerAddress(), proxy);
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/Failovers.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/Failovers.java
@@ -15,7 +15,6 @@
 import org.lavenderwick.core.failover.GroupTerm;
 import org.lavenderwick.core.failover.PromotionPort;
 import org.lavenderwick.core.failover.TermPhase;
-import org.lavenderwick.core.model.DaemonName;
 import org.lavenderwick.core.model.EndpointName;
 import org.lavenderwick.core.model.GroupName;
 import org.lavenderwick.core.store.FleetStore;
@@ -45,9 +44,8 @@
     private static final Logger LOG = Logger.getLogger(Failovers.class);
 
     /** Why a primary is to be replaced, and since when. */
-    private record Reason(String text, EndpointName primary, Duration since, GroupTerm term) {}
+    private record Reason(String text, GroupTerm term, Duration since) {}
 
-    private final DaemonName daemon;
     private final FleetStore store;
     private final EndpointCodec codec;
     private final PromotionPort promotions;
@@ -56,9 +54,7 @@
     private final Map<GroupName, Duration> attemptedAt = new HashMap<>();
     private final Map<GroupName, Thread> running = new HashMap<>();
 
-    Failovers(
-            DaemonName daemon, FleetStore store, EndpointCodec codec, PromotionPort promotions, MonotonicClock clock) {
-        this.daemon = daemon;
+    Failovers(FleetStore store, EndpointCodec codec, PromotionPort promotions, MonotonicClock clock) {
         this.store = store;
         this.codec = codec;
         this.promotions = promotions;
@@ -88,7 +84,7 @@
         if (reason == null
                 || !reason.text().equals(text.get())
                 || !reason.term().equals(term)) {
-            reason = new Reason(text.get(), term.primary(), now, term);
+            reason = new Reason(text.get(), term, now);
             reasons.put(group, reason);
         }
         Duration patience =
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 import org.jboss.logging.Logger;
@@ -30,6 +29,7 @@
 import org.lavenderwick.core.time.MonotonicClock;
 import org.lavenderwick.daemon.session.FleetView;
 import org.lavenderwick.daemon.session.Peer;
+import org.lavenderwick.daemon.session.TrafficState;
 
 /**
  * The control thread: follows the store, keeps the evidence of terms and this daemon's entries, and starts failovers.
@@ -60,9 +60,10 @@
     private final Failovers failovers;
     private final LeasedEntry hostEntry;
     private final Consumer<FleetView> listener;
-    private final Supplier<Set<EndpointName>> suspects;
+    private final TrafficState traffic;
     private final Map<GroupName, Duration> missingSince = new HashMap<>();
     private FleetView published = FleetView.EMPTY;
+    private boolean serving;
     private Duration renewedAt = Duration.ofSeconds(-1);
     private boolean loaded;
     private Thread followerThread;
@@ -75,7 +76,7 @@
      * @param self how other daemons reach this one
      * @param changeBound time in which a change of the configuration must be in force
      * @param listener hears of each change of what is known, on the control thread
-     * @param suspects returns the endpoints that do not answer this daemon; called on the control thread
+     * @param traffic what the traffic thread finds out
      */
     public FleetControl(
             DaemonName daemon,
@@ -87,7 +88,7 @@
             RandomGenerator random,
             Duration changeBound,
             Consumer<FleetView> listener,
-            Supplier<Set<EndpointName>> suspects) {
+            TrafficState traffic) {
         this.daemon = daemon;
         this.hostValue = Hosts.encode(self);
         this.store = store;
@@ -96,10 +97,10 @@
         this.follower = new StoreFollower(store, changeBound, random);
         this.terms = new TermKeeper(store, clock);
         this.suspicions = new Suspicions(daemon, store);
-        this.failovers = new Failovers(daemon, store, codec, promotions, clock);
+        this.failovers = new Failovers(store, codec, promotions, clock);
         this.hostEntry = new LeasedEntry(store, Hosts.key(daemon), HOST_LEASE);
         this.listener = listener;
-        this.suspects = suspects;
+        this.traffic = traffic;
     }
 
     /** Starts to follow the store on a thread of its own. */
@@ -142,7 +143,7 @@
             take(reading, now);
         }
         directory.expire(now);
-        if (now.minus(renewedAt).compareTo(RENEWAL_INTERVAL) >= 0) {
+        if ((serving || traffic.isBusy()) && now.minus(renewedAt).compareTo(RENEWAL_INTERVAL) >= 0) {
             renewedAt = now;
             terms.renew();
         }
@@ -187,13 +188,15 @@
                 Hosts.decode(directory.entriesUnder(Hosts.PREFIX)));
         if (!view.equals(published)) {
             published = view;
+            // Evidence of a primary is of use only to a daemon that holds connections to endpoints.
+            serving = view.servesAny(daemon);
             listener.accept(view);
             configured = view.catalog().isPresent();
         }
     }
 
     private void maintainGroups() {
-        Set<EndpointName> silent = suspects.get();
+        Set<EndpointName> silent = traffic.suspects();
         List<GroupName> groups = new ArrayList<>();
         directory
                 .catalog()
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/TermKeeper.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/TermKeeper.java
@@ -1,7 +1,6 @@
 package org.lavenderwick.daemon.fleet;
 
 import java.time.Duration;
-import java.util.Optional;
 
 import io.vavr.control.Either;
 import org.jboss.logging.Logger;
@@ -11,12 +10,11 @@
 import org.lavenderwick.core.failover.TermEvidenceLease;
 import org.lavenderwick.core.failover.TermLease;
 import org.lavenderwick.core.failover.TermRecord;
-import org.lavenderwick.core.failover.TermRecordCodec;
+import org.lavenderwick.core.failover.TermRecordStore;
 import org.lavenderwick.core.model.EndpointName;
 import org.lavenderwick.core.model.GroupName;
 import org.lavenderwick.core.store.FleetStore;
 import org.lavenderwick.core.store.StoreEntry;
-import org.lavenderwick.core.store.StoreWrite;
 import org.lavenderwick.core.time.MonotonicClock;
 
 /** Keeps the evidence from the record of terms, and adds groups that the record lacks. Confined to one thread. */
@@ -25,11 +23,13 @@
     private static final Logger LOG = Logger.getLogger(TermKeeper.class);
 
     private final FleetStore store;
+    private final TermRecordStore records;
     private final MonotonicClock clock;
     private final TermEvidenceLease evidence = TermEvidenceLease.create();
 
     TermKeeper(FleetStore store, MonotonicClock clock) {
         this.store = store;
+        this.records = TermRecordStore.of(store);
         this.clock = clock;
     }
 
@@ -39,11 +39,15 @@
 
     /** Takes the record as the store holds it. */
     void install(StoreEntry entry) {
-        TermRecordCodec.decode(entry.value())
-                .peek(record -> evidence.install(record, entry.revision()))
+        TermRecordStore.decode(entry)
+                .peek(this::install)
                 .peekLeft(failure -> LOG.warnf("[fleet] The record of terms is ignored: %s", failure.detail()));
     }
 
+    private void install(TermRecordStore.Versioned terms) {
+        evidence.install(terms.record(), terms.revision());
+    }
+
     /** Renews the lease of the record, which proves that the record is current. */
     void renew() {
         long lease = evidence.record().lease();
@@ -85,15 +89,11 @@
 
     /** Reads the record anew; returns false if the store does not answer. */
     private boolean refresh() {
-        Either<Failure, Optional<StoreEntry>> read = store.read(TermRecord.KEY);
-        read.peek(entry -> entry.ifPresent(this::install));
-        return read.isRight();
+        return records.read().peek(this::install).isRight();
     }
 
     private void write(TermRecord record) {
-        StoreWrite write = new StoreWrite(
-                TermRecord.KEY, evidence.revision(), TermRecordCodec.encode(record), StoreWrite.NO_LEASE);
-        store.write(write)
+        records.write(record, evidence.revision())
                 .peek(revision -> evidence.install(record, revision))
                 .peekLeft(failure -> LOG.debugf("[fleet] The record of terms was not written: %s", failure.detail()));
     }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/FleetView.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/FleetView.java
@@ -57,4 +57,17 @@
         int count = GroupOwners.count(peers.size(), slots, sharedConnections(group));
         return GroupOwners.choose(group, Maps.transformValues(peers, Peer::domain), count);
     }
+
+    /** Returns whether a daemon holds connections to the endpoints of a group; so it does while none is known. */
+    public boolean serves(DaemonName daemon, GroupName group) {
+        List<DaemonName> owners = owners(group);
+        return owners.isEmpty() || owners.contains(daemon);
+    }
+
+    /** Returns whether a daemon holds connections to the endpoints of any group of the configuration. */
+    public boolean servesAny(DaemonName daemon) {
+        return catalog.stream()
+                .flatMap(known -> known.maxConnections().keySet().stream())
+                .anyMatch(group -> serves(daemon, group));
+    }
 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GroupDispatcher.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GroupDispatcher.java
@@ -136,7 +136,7 @@
 
     private int parallel(Work work) {
         int rank = work.route().priority();
-        return loads(work).stream()
+        return loads(work, replicaPoint(work)).stream()
                 .mapToInt(load -> EndpointChoice.limitFor(load, rank))
                 .sum();
     }
@@ -158,8 +158,8 @@
     }
 
     private boolean start(Work work) {
-        Optional<LogPoint> after = work.needsPrimary() ? Optional.empty() : replicaPoint(work);
-        List<EndpointLoad> eligible = loads(work);
+        Optional<LogPoint> after = replicaPoint(work);
+        List<EndpointLoad> eligible = loads(work, after);
         while (true) {
             Optional<EndpointLoad> chosen =
                     EndpointChoice.choose(eligible, work.route().priority());
@@ -179,8 +179,11 @@
         }
     }
 
-    /** Returns the position that a replica must hold for a read; empty if none is known that is recent enough. */
+    /** Returns the position that a replica must hold for a statement; empty if only the primary can serve it now. */
     private Optional<LogPoint> replicaPoint(Work work) {
+        if (work.needsPrimary()) {
+            return Optional.empty();
+        }
         Duration oldest = work.arrivedAt().minus(work.route().maxStaleness()).plus(STALENESS_MARGIN);
         return positions
                 .covering(oldest)
@@ -188,9 +191,8 @@
                         work.sessionPoint().map(own -> LogPoint.max(own, point)).orElse(point));
     }
 
-    private List<EndpointLoad> loads(Work work) {
+    private List<EndpointLoad> loads(Work work, Optional<LogPoint> after) {
         Optional<EndpointName> primary = terms.current(loop.now()).map(PrimaryView::primary);
-        Optional<LogPoint> after = work.needsPrimary() ? Optional.empty() : replicaPoint(work);
         List<EndpointLoad> loads = new ArrayList<>();
         pools.forEach((name, pool) -> {
             boolean isPrimary = primary.equals(Optional.of(name));
@@ -235,19 +237,29 @@
             work.session().failed(work, Failure.of(ErrorKind.DEADLINE_UNREACHABLE, "no endpoint was free in time"));
         }
         refuseHopeless(now);
-        boolean running = false;
+        closeOverdue(now);
+        questions.ask(now);
+        dispatch();
+        return hasWork() || terms.settle(now);
+    }
+
+    private void closeOverdue(Duration now) {
         for (EndpointPool pool : pools.values()) {
             for (EndpointConnection connection : pool.connections()) {
                 connection
                         .running()
                         .filter(work -> now.compareTo(work.deadline()) >= 0)
                         .ifPresent(work -> connection.close("its answer is overdue"));
-                running |= connection.waitingSince().isPresent();
             }
         }
-        questions.ask(now);
-        dispatch();
-        return running || !queue.isEmpty() || terms.settle(now);
+    }
+
+    /** Returns whether a statement waits or an endpoint owes an answer. */
+    boolean hasWork() {
+        return !queue.isEmpty()
+                || pools.values().stream()
+                        .flatMap(pool -> pool.connections().stream())
+                        .anyMatch(connection -> connection.waitingSince().isPresent());
     }
 
     private void refuseHopeless(Duration now) {
@@ -259,16 +271,12 @@
             primaryMissingSince = now;
         }
         Duration since = primaryMissingSince;
-        for (Work work : queue.removeIf(work -> needsPrimary(work) && Admission.isHopeless(work, now, since))) {
+        for (Work work :
+                queue.removeIf(work -> replicaPoint(work).isEmpty() && Admission.isHopeless(work, now, since))) {
             work.session().failed(work, Admission.noPrimary(now, since));
         }
     }
 
-    /** Returns whether only the primary can serve a statement now, as no position is known that is recent enough. */
-    private boolean needsPrimary(Work work) {
-        return work.needsPrimary() || replicaPoint(work).isEmpty();
-    }
-
     /** Forgets what was learnt before the clock of the host was found to have jumped or stood still. */
     void distrustClock() {
         terms.distrust(loop.now());
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
@@ -29,7 +29,7 @@
 import org.lavenderwick.core.model.GroupName;
 
 /** All sessions of this daemon and the groups that serve them. Confined to the traffic thread, unless noted. */
-public final class SessionProxy implements EventLoop.Ticker {
+public final class SessionProxy implements EventLoop.Ticker, TrafficState {
 
     /** Stands in for the idle time of transactions while no configuration is known; no transaction is open then. */
     private static final Duration NO_LIMIT = Duration.ofDays(1);
@@ -48,6 +48,7 @@
     private FleetView view = FleetView.EMPTY;
     private Draining draining;
     private volatile Set<EndpointName> suspects = ImmutableSet.of();
+    private volatile boolean busy;
     private volatile int openSessions;
     private final Random shuffling;
 
@@ -145,11 +146,16 @@
         draining = new Draining(loop.now().plus(closeFrom), loop.now().plus(abortFrom));
     }
 
-    /** Returns the endpoints that do not answer this daemon. May be called from any thread. */
+    @Override
     public Set<EndpointName> suspects() {
         return suspects;
     }
 
+    @Override
+    public boolean isBusy() {
+        return busy;
+    }
+
     /** Returns how many sessions are open. May be called from any thread. */
     public int openSessions() {
         return openSessions;
@@ -165,12 +171,15 @@
     @Override
     public boolean tick(Duration now) {
         boolean waiting = false;
+        boolean working = false;
         ImmutableSet.Builder<EndpointName> found = ImmutableSet.builder();
         for (GroupDispatcher dispatcher : dispatchers.values()) {
             waiting |= dispatcher.tick();
+            working |= dispatcher.hasWork();
             found.addAll(dispatcher.suspects());
         }
         suspects = found.build();
+        busy = working;
         Duration transactionIdle = view.catalog().map(Catalog::transactionIdle).orElse(NO_LIMIT);
         List.copyOf(sessions).forEach(session -> session.tick(now, transactionIdle));
         if (draining != null) {
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionChangesTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionChangesTest.java
@@ -25,11 +25,10 @@
 
     @BeforeEach
     void start() throws Exception {
-        fleet = new SessionFleet();
+        fleet = SessionFleet.ofOne();
+        member = fleet.first();
         store = fleet.store();
         database = fleet.database();
-        OperatorStandin.configure(store, 1, SessionFleet.DATABASE, "read_your_writes", SessionFleet.GROUP, 1000);
-        member = fleet.startDaemon();
     }
 
     @AfterEach
@@ -37,10 +36,6 @@
         fleet.close();
     }
 
-    private SessionClient open() throws IOException {
-        return SessionClient.open(member.address(), SessionFleet.DATABASE);
-    }
-
     @Nested
     class Fleet {
 
@@ -83,7 +78,7 @@
         /** Reads for a while and returns how many of the reads ran at the endpoints that leave. */
         private int runsAtLeavingEndpoints() throws IOException {
             int before = leavingRuns();
-            try (SessionClient client = open()) {
+            try (SessionClient client = fleet.open()) {
                 for (int index = 0; index < 20; index++) {
                     assertThat(succeeded(client.query("READ start"))).isTrue();
                 }
@@ -98,7 +93,7 @@
 
         @Test
         void primaryThatDiesIsReplaced() throws Exception {
-            try (SessionClient client = open()) {
+            try (SessionClient client = fleet.open()) {
                 client.query("WRITE kept 1");
                 database.endpoint("db-1").kill();
                 await(() -> succeeded(client.query("WRITE later 1")));
@@ -110,7 +105,7 @@
 
         @Test
         void primaryThatFallsSilentIsReplaced() throws Exception {
-            try (SessionClient client = open()) {
+            try (SessionClient client = fleet.open()) {
                 database.endpoint("db-1").silent(true);
                 await(() -> succeeded(client.query("WRITE later 1")));
             }
@@ -119,7 +114,7 @@
 
         @Test
         void primaryThatLeavesIsReplacedWithoutALostWrite() throws Exception {
-            try (SessionClient client = open()) {
+            try (SessionClient client = fleet.open()) {
                 client.query("WRITE kept 1");
                 database.endpoint("db-1").drain();
                 await(() -> !database.promotions().isEmpty());
@@ -130,7 +125,7 @@
 
         @Test
         void readsGoOnForTheirAcceptedAgeWhileTheStoreIsDown() throws Exception {
-            try (SessionClient client = open()) {
+            try (SessionClient client = fleet.open()) {
                 client.query("WRITE a 1");
                 store.down(true);
                 for (int index = 0; index < 10; index++) {
@@ -148,7 +143,7 @@
         @Test
         void leavesTheRotationAndClosesIdleSessions() throws Exception {
             try (SessionClient probe = SessionClient.connect(member.readiness());
-                    SessionClient client = open()) {
+                    SessionClient client = fleet.open()) {
                 Thread stopping = new Thread(() -> {
                     try {
                         member.daemon().stop();
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionDaemonTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionDaemonTest.java
@@ -12,9 +12,7 @@
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.lavenderwick.platform.standin.DatabaseStandin;
-import org.lavenderwick.platform.standin.OperatorStandin;
 import org.lavenderwick.platform.standin.SessionClient;
-import org.lavenderwick.platform.standin.StoreStandin;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.lavenderwick.daemon.SessionFleet.succeeded;
@@ -24,16 +22,13 @@
 
     private SessionFleet fleet;
     private SessionFleet.Member member;
-    private StoreStandin store;
     private DatabaseStandin database;
 
     @BeforeEach
     void start() throws Exception {
-        fleet = new SessionFleet();
-        store = fleet.store();
+        fleet = SessionFleet.ofOne();
+        member = fleet.first();
         database = fleet.database();
-        OperatorStandin.configure(store, 1, SessionFleet.DATABASE, "read_your_writes", SessionFleet.GROUP, 1000);
-        member = fleet.startDaemon();
     }
 
     @AfterEach
@@ -41,16 +36,12 @@
         fleet.close();
     }
 
-    private SessionClient open() throws IOException {
-        return SessionClient.open(member.address(), SessionFleet.DATABASE);
-    }
-
     @Nested
     class Statements {
 
         @Test
         void areAnsweredWithTheRowsAndDigestOfTheEndpoint() throws IOException {
-            try (SessionClient client = open()) {
+            try (SessionClient client = fleet.open()) {
                 client.query("WRITE a 1");
                 List<String> answer = client.query("READ a");
                 assertThat(answer.get(0)).isEqualTo("ROW 1");
@@ -61,8 +52,8 @@
 
         @Test
         void ofTwoSessionsDoNotShareValuesOrNames() throws IOException {
-            try (SessionClient first = open();
-                    SessionClient second = open()) {
+            try (SessionClient first = fleet.open();
+                    SessionClient second = fleet.open()) {
                 first.query("SET zone a");
                 first.query("PARSE s WRITE x");
                 second.query("PARSE s READ y");
@@ -76,7 +67,7 @@
 
         @Test
         void withAnUnknownNameFail() throws IOException {
-            try (SessionClient client = open()) {
+            try (SessionClient client = fleet.open()) {
                 assertThat(client.query("EXECUTE none a").get(0)).startsWith("ERROR NOSTMT");
                 client.query("PARSE s READ y");
                 client.query("CLOSE s");
@@ -86,7 +77,7 @@
 
         @Test
         void thatDidNotRunAreTriedAgain() throws IOException {
-            try (SessionClient client = open()) {
+            try (SessionClient client = fleet.open()) {
                 database.endpoint("db-1").nextAnswer("BUSY");
                 assertThat(succeeded(client.query("WRITE a 1"))).isTrue();
                 assertThat(fleet.runsOf("WRITE a 1")).isEqualTo(1);
@@ -96,7 +87,7 @@
         @ParameterizedTest
         @ValueSource(strings = {"lose", "cut"})
         void thatWriteAreSentOnceWhenTheirAnswerIsLost(String fault) throws IOException {
-            try (SessionClient client = open()) {
+            try (SessionClient client = fleet.open()) {
                 database.endpoint("db-1").nextAnswer(fault);
                 assertThat(client.query("WRITE a 1").get(0)).startsWith("ERROR INDOUBT");
                 assertThat(fleet.runsOf("WRITE a 1")).isEqualTo(1);
@@ -107,7 +98,7 @@
         @ParameterizedTest
         @ValueSource(strings = {"lose", "cut"})
         void thatReadAreSentAgainWhenTheirAnswerIsLost(String fault) throws IOException {
-            try (SessionClient client = open()) {
+            try (SessionClient client = fleet.open()) {
                 IntStream.rangeClosed(1, 3)
                         .forEach(index -> database.endpoint("db-" + index).nextAnswer(fault));
                 List<String> answer = client.query("READ start");
@@ -123,7 +114,7 @@
         void readWhatTheSessionHasWrittenWhileReplicasReceiveNothing() throws IOException {
             database.endpoint("db-2").deaf(true);
             database.endpoint("db-3").deaf(true);
-            try (SessionClient client = open()) {
+            try (SessionClient client = fleet.open()) {
                 for (int index = 0; index < 10; index++) {
                     client.query("WRITE a " + index);
                     assertThat(client.query("READ a").get(0)).isEqualTo("ROW " + index);
@@ -137,8 +128,8 @@
 
         @Test
         void runOnOneConnectionAndCommitAtTheEnd() throws IOException {
-            try (SessionClient client = open();
-                    SessionClient other = open()) {
+            try (SessionClient client = fleet.open();
+                    SessionClient other = fleet.open()) {
                 assertThat(client.query("BEGIN").get(1)).startsWith("READY T");
                 client.query("WRITE t 1");
                 assertThat(other.query("READ t").get(0)).isEqualTo("ROW none");
@@ -151,11 +142,11 @@
 
         @Test
         void areRolledBackWhenTheirCallerLeaves() throws Exception {
-            try (SessionClient client = open()) {
+            try (SessionClient client = fleet.open()) {
                 client.query("BEGIN");
                 client.query("WRITE gone 1");
             }
-            try (SessionClient client = open()) {
+            try (SessionClient client = fleet.open()) {
                 client.query("WRITE kept 1");
                 client.query("BEGIN");
                 assertThat(client.query("READ gone").get(0)).isEqualTo("ROW none");
@@ -165,7 +156,7 @@
 
         @Test
         void areAbortedWhenTheirEndpointIsLost() throws IOException {
-            try (SessionClient client = open()) {
+            try (SessionClient client = fleet.open()) {
                 client.query("BEGIN");
                 client.query("WRITE a 1");
                 database.endpoint("db-1").nextAnswer("lose");
@@ -179,7 +170,7 @@
 
         @Test
         void areInDoubtWhenTheAnswerToTheCommitIsLost() throws IOException {
-            try (SessionClient client = open()) {
+            try (SessionClient client = fleet.open()) {
                 client.query("BEGIN");
                 client.query("WRITE a 1");
                 database.endpoint("db-1").nextAnswer("lose");
@@ -189,7 +180,7 @@
 
         @Test
         void thatStayIdleAreRolledBack() throws Exception {
-            try (SessionClient client = open()) {
+            try (SessionClient client = fleet.open()) {
                 client.query("BEGIN");
                 client.query("WRITE a 1");
                 Thread.sleep(1500);
@@ -200,7 +191,7 @@
 
         @Test
         void refuseStatementsOutOfState() throws IOException {
-            try (SessionClient client = open()) {
+            try (SessionClient client = fleet.open()) {
                 assertThat(client.query("COMMIT").get(0)).startsWith("ERROR MALFORMED");
                 client.query("BEGIN");
                 assertThat(client.query("BEGIN").get(0)).startsWith("ERROR MALFORMED");
@@ -223,8 +214,8 @@
         @ParameterizedTest
         @ValueSource(strings = {"HELLO", "QUERY - READ a", "QUERY x", "\0\0\0", "QUERY a READ b\rQUERY c READ d"})
         void thatIsNoMessageEndsTheSessionAndNoOther(String line) throws IOException {
-            try (SessionClient bad = open();
-                    SessionClient good = open()) {
+            try (SessionClient bad = fleet.open();
+                    SessionClient good = fleet.open()) {
                 bad.send(line);
                 List<String> answer = bad.answer();
                 assertThat(answer.get(0)).startsWith("ERROR MALFORMED");
@@ -237,7 +228,7 @@
         @ParameterizedTest
         @MethodSource("org.lavenderwick.platform.standin.SessionClient#statementsThatCallersMayNotSend")
         void thatIsNoStatementIsRefused(String text) throws IOException {
-            try (SessionClient client = open()) {
+            try (SessionClient client = fleet.open()) {
                 assertThat(client.query(text).get(0)).startsWith("ERROR MALFORMED");
                 assertThat(succeeded(client.query("READ start"))).isTrue();
             }
@@ -245,7 +236,7 @@
 
         @Test
         void thatIsTooLongIsRefused() throws IOException {
-            try (SessionClient client = open()) {
+            try (SessionClient client = fleet.open()) {
                 try {
                     client.send("QUERY x WRITE a " + "y".repeat(1 << 21));
                     assertThat(client.answer().get(0)).startsWith("ERROR TOOBIG");
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionFleet.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionFleet.java
@@ -14,6 +14,7 @@
 import org.lavenderwick.core.model.DaemonName;
 import org.lavenderwick.core.model.FailureDomain;
 import org.lavenderwick.platform.standin.DatabaseStandin;
+import org.lavenderwick.platform.standin.OperatorStandin;
 import org.lavenderwick.platform.standin.SessionClient;
 import org.lavenderwick.platform.standin.StoreStandin;
 
@@ -42,6 +43,24 @@
         database = DatabaseStandin.start(GROUP, ENDPOINTS, store);
     }
 
+    /** Starts a fleet of one daemon before one database whose sessions read their own writes. */
+    static SessionFleet ofOne() throws Exception {
+        SessionFleet fleet = new SessionFleet();
+        OperatorStandin.configure(fleet.store, 1, DATABASE, "read_your_writes", GROUP, 1000);
+        fleet.startDaemon();
+        return fleet;
+    }
+
+    /** Returns the daemon that was started first. */
+    Member first() {
+        return members.get(0);
+    }
+
+    /** Opens a session at the daemon that was started first. */
+    SessionClient open() throws IOException {
+        return SessionClient.open(first().address(), DATABASE);
+    }
+
     StoreStandin store() {
         return store;
     }
