Soak daemons in random faults and judge the history of their sessions

Callers run single statements and transactions on the three kinds of routes while endpoints, the store and daemons fail at random. The history must hold: complete answers of the endpoint that ran the statement, one connection for a transaction, the values of the session, each write at most once, refusals that kept nothing, reads as fresh as their route asks, nothing acknowledged by a former primary. Afterwards every daemon serves.

--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionFleet.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionFleet.java
@@ -5,9 +5,10 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.IntStream;
 
 import org.lavenderwick.adapters.settings.SessionSettings;
@@ -26,17 +27,21 @@
     static final String DATABASE = "orders";
     static final String GROUP = "db";
 
+    /** The item that is written to find out whether a daemon serves. */
+    static final String PROBE_ITEM = "start";
+
     /** Longest wait for something that must happen; a failover takes about four seconds. */
     private static final Duration PATIENCE = Duration.ofSeconds(20);
 
-    private static final int ENDPOINTS = 3;
+    static final int ENDPOINTS = 3;
 
     /** One daemon with the addresses that it listens at. */
     record Member(SessionDaemon daemon, InetSocketAddress address, InetSocketAddress readiness) {}
 
     private final StoreStandin store;
     private final DatabaseStandin database;
-    private final List<Member> members = new ArrayList<>();
+    private final List<Member> members = new CopyOnWriteArrayList<>();
+    private int started;
 
     SessionFleet() throws IOException {
         store = StoreStandin.start();
@@ -56,6 +61,19 @@
         return members.get(0);
     }
 
+    /** Returns one of the daemons that run. */
+    Member any(Random random) {
+        List<Member> running = List.copyOf(members);
+        return running.get(random.nextInt(running.size()));
+    }
+
+    /** Ends one of the daemons at once. */
+    void killOne(Random random) {
+        Member member = any(random);
+        members.remove(member);
+        member.daemon().close();
+    }
+
     /** Opens a session at the daemon that was started first. */
     SessionClient open() throws IOException {
         return SessionClient.open(first().address(), DATABASE);
@@ -71,7 +89,7 @@
 
     /** Starts a daemon and waits until it serves. */
     Member startDaemon() throws Exception {
-        int number = members.size() + 1;
+        int number = ++started;
         InetSocketAddress address = freeAddress();
         InetSocketAddress readiness = freeAddress();
         SessionDaemon daemon = SessionDaemon.start(new SessionSettings(
@@ -90,10 +108,17 @@
         return member;
     }
 
-    void awaitService(Member member) throws Exception {
+    /** Waits until every daemon serves a write. */
+    void awaitServiceOfAll() throws Exception {
+        for (Member member : members) {
+            awaitService(member);
+        }
+    }
+
+    static void awaitService(Member member) throws Exception {
         await(() -> {
             try (SessionClient client = SessionClient.open(member.address(), DATABASE)) {
-                return succeeded(client.query("WRITE start 1"));
+                return succeeded(client.query("WRITE " + PROBE_ITEM + " 1"));
             }
         });
     }
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionRelayTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionRelayTest.java
@@ -75,6 +75,6 @@
     @ValueSource(ints = {0, 1})
     void sessionsGoOnThroughTheOtherDaemonWhenOneDies(int survivor) throws Exception {
         members.get(1 - survivor).daemon().close();
-        fleet.awaitService(members.get(survivor));
+        SessionFleet.awaitService(members.get(survivor));
     }
 }
--- /dev/null
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionSoakTest.java
@@ -0,0 +1,99 @@
+package org.lavenderwick.daemon;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+import org.junit.jupiter.api.Test;
+import org.lavenderwick.daemon.SoakHistory.Freshness;
+import org.lavenderwick.platform.standin.OperatorStandin;
+import org.lavenderwick.platform.standin.OperatorStandin.Route;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Daemons under random faults and random load; afterwards the history is judged and every daemon serves again.
+ *
+ * <p>{@code -Dsoak.seed} and {@code -Dsoak.seconds} set the seed of the faults and for how long they go on.
+ */
+class SessionSoakTest {
+
+    private static final long SEED = Long.getLong("soak.seed", 1);
+
+    /** Long enough for several failovers, each of which takes about three seconds. */
+    private static final Duration LENGTH = Duration.ofSeconds(Long.getLong("soak.seconds", 20));
+
+    private static final int DAEMONS = 3;
+    private static final int CALLERS = 8;
+
+    /** As {@link OperatorStandin} configures it. */
+    private static final Duration ACCEPTED_STALENESS = Duration.ofMillis(1500);
+
+    private static final Map<Freshness, String> DATABASES = Map.of(
+            Freshness.PRIMARY, SessionFleet.DATABASE,
+            Freshness.BOUNDED, "reports",
+            Freshness.OWN_WRITES, "accounts");
+
+    private static final List<Route> ROUTES = List.of(
+            new Route(DATABASES.get(Freshness.PRIMARY), "primary"),
+            new Route(DATABASES.get(Freshness.BOUNDED), "bounded"),
+            new Route(DATABASES.get(Freshness.OWN_WRITES), "read_your_writes"));
+
+    @Test
+    void historyHoldsUnderFaults() throws Exception {
+        Random random = new Random(SEED);
+        SoakHistory history = new SoakHistory(ACCEPTED_STALENESS);
+        List<String> unanswered = Collections.synchronizedList(new ArrayList<>());
+        List<String> faults = new ArrayList<>();
+        try (SessionFleet fleet = new SessionFleet()) {
+            OperatorStandin.configure(fleet.store(), 1, ROUTES, SessionFleet.GROUP, 1000);
+            for (int index = 0; index < DAEMONS; index++) {
+                fleet.startDaemon();
+            }
+            List<SoakCaller> callers = new ArrayList<>();
+            List<Thread> threads = new ArrayList<>();
+            for (int index = 0; index < CALLERS; index++) {
+                Random own = new Random(random.nextLong());
+                SoakCaller caller =
+                        new SoakCaller(history, DATABASES, () -> fleet.any(own).address(), own, unanswered);
+                callers.add(caller);
+                threads.add(new Thread(caller, "caller " + index));
+            }
+            threads.forEach(Thread::start);
+            SoakFaults plan = new SoakFaults(fleet, random);
+            long end = System.nanoTime() + LENGTH.toNanos();
+            while (System.nanoTime() < end) {
+                faults.add(plan.playOne());
+            }
+            fleet.awaitServiceOfAll();
+            callers.forEach(SoakCaller::stop);
+            for (Thread thread : threads) {
+                thread.join();
+            }
+            System.out.printf(
+                    "soak: seed %d, %d attempts, %d acknowledged commits, %s, promotions %s, faults %s%n",
+                    SEED,
+                    history.size(),
+                    history.acknowledged(),
+                    history.outcomes(),
+                    fleet.database().promotions(),
+                    faults);
+            assertThat(unanswered).as("statements without an answer").isEmpty();
+            assertThat(history.violations(
+                            fleet.database().runs().stream()
+                                    .filter(run -> !run.text().contains(SessionFleet.PROBE_ITEM))
+                                    .toList(),
+                            fleet.database().commits().stream()
+                                    .filter(commit -> !commit.item().equals(SessionFleet.PROBE_ITEM))
+                                    .toList(),
+                            fleet.database().lateValues(),
+                            fleet.database().rolledBackValues()))
+                    .as("seed %d", SEED)
+                    .isEmpty();
+        }
+        assertThat(history.acknowledged()).isPositive();
+    }
+}
--- /dev/null
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SoakFaults.java
@@ -0,0 +1,65 @@
+package org.lavenderwick.daemon;
+
+import java.util.List;
+import java.util.Random;
+
+import org.lavenderwick.platform.standin.EndpointStandin;
+
+/** Faults of endpoints, of the store and of daemons, drawn at random, each over after a while. */
+final class SoakFaults {
+
+    private static final int LONGEST_MILLIS = 1500;
+
+    /** Pause after a fault, in which parts of the fleet recover and others do not. */
+    private static final int LONGEST_PAUSE_MILLIS = 700;
+
+    private static final List<String> ANSWERS = List.of("BUSY", "FAILED", "LAGGING", "lose", "cut");
+
+    private interface Step {
+        void run() throws Exception;
+    }
+
+    private final SessionFleet fleet;
+    private final Random random;
+
+    SoakFaults(SessionFleet fleet, Random random) {
+        this.fleet = fleet;
+        this.random = random;
+    }
+
+    /** Plays one fault to its end and returns its name. */
+    String playOne() throws Exception {
+        EndpointStandin endpoint =
+                fleet.database().endpoint(SessionFleet.GROUP + "-" + (1 + random.nextInt(SessionFleet.ENDPOINTS)));
+        int kind = random.nextInt(10);
+        switch (kind) {
+            case 0 -> play(() -> endpoint.nextAnswer(ANSWERS.get(random.nextInt(ANSWERS.size()))));
+            case 1 -> play(endpoint::reset);
+            case 2 -> play(() -> endpoint.silent(true), () -> endpoint.silent(false));
+            case 3 -> play(() -> endpoint.deaf(true), () -> endpoint.deaf(false));
+            case 4 -> play(endpoint::kill, endpoint::restart);
+            case 5 -> play(() -> fleet.store().down(true), () -> fleet.store().down(false));
+            case 6 ->
+                play(
+                        () -> fleet.store().losingAnswers(true),
+                        () -> fleet.store().losingAnswers(false));
+            case 7 ->
+                play(() -> fleet.store().deafWatches(true), () -> fleet.store().deafWatches(false));
+            case 8 -> play(() -> fleet.store().revokeLeases());
+            default -> play(() -> fleet.killOne(random), () -> fleet.startDaemon());
+        }
+        fleet.database().demoteFormerPrimaries();
+        Thread.sleep(random.nextInt(LONGEST_PAUSE_MILLIS));
+        return kind + "/" + endpoint.id();
+    }
+
+    private void play(Step begin) throws Exception {
+        begin.run();
+    }
+
+    private void play(Step begin, Step end) throws Exception {
+        begin.run();
+        Thread.sleep(random.nextInt(LONGEST_MILLIS));
+        end.run();
+    }
+}
