Space the watches of the store while changes come in close succession

Each wake is a billed call. Changes within two seconds of another one are now gathered for a second, unless a primary is doubted or being replaced.

Component tests take ports that outgoing connections do not get: SessionSoakTest failed once with 'Address already in use', as a port found free was given to a connection of another thread before the daemon listened there.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
@@ -18,6 +18,7 @@
 import org.lavenderwick.core.failover.FailoverRun;
 import org.lavenderwick.core.failover.GroupTerm;
 import org.lavenderwick.core.failover.PromotionPort;
+import org.lavenderwick.core.failover.TermPhase;
 import org.lavenderwick.core.failover.TermRecord;
 import org.lavenderwick.core.model.DaemonName;
 import org.lavenderwick.core.model.EndpointName;
@@ -94,7 +95,7 @@
         this.store = store;
         this.codec = codec;
         this.clock = clock;
-        this.follower = new StoreFollower(store, changeBound, random);
+        this.follower = new StoreFollower(store, clock, changeBound, random);
         this.terms = new TermKeeper(store, clock);
         this.suspicions = new Suspicions(daemon, store);
         this.failovers = new Failovers(store, codec, promotions, clock);
@@ -201,6 +202,7 @@
         directory
                 .catalog()
                 .ifPresent(catalog -> groups.addAll(catalog.maxConnections().keySet()));
+        follower.hurry(isFailoverNear(groups));
         for (GroupName group : groups) {
             Optional<GroupTerm> term = terms.evidence().record().group(group);
             Map<EndpointName, EndpointEntry> members = directory.members(group);
@@ -220,6 +222,16 @@
         failovers.forgetEnded();
     }
 
+    /** Returns whether a primary is doubted or being replaced. */
+    private boolean isFailoverNear(List<GroupName> groups) {
+        TermRecord record = terms.evidence().record();
+        return suspicions.any(directory)
+                || groups.stream()
+                        .map(record::group)
+                        .flatMap(Optional::stream)
+                        .anyMatch(term -> term.phase() != TermPhase.OPEN);
+    }
+
     /** Returns the place of this daemon among the live ones, so that not all of them act at once. */
     private int rank() {
         return directory.entriesUnder(Hosts.PREFIX).headMap(Hosts.key(daemon)).size();
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/StoreFollower.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/StoreFollower.java
@@ -12,6 +12,7 @@
 import org.lavenderwick.core.store.FleetStore;
 import org.lavenderwick.core.store.StoreChanges;
 import org.lavenderwick.core.time.Backoff;
+import org.lavenderwick.core.time.MonotonicClock;
 
 /** Follows the store on a thread of its own: reads everything once and then waits for changes. */
 final class StoreFollower implements Runnable {
@@ -25,6 +26,12 @@
     /** Pause between an answer with changes and the next watch; small beside the time for a change to be known. */
     private static final Duration GATHER_TIME = Duration.ofMillis(50);
 
+    /** The same pause while changes come in close succession, as when a whole fleet starts. */
+    private static final Duration BUSY_GATHER_TIME = Duration.ofSeconds(1);
+
+    /** Time without changes after which the next one is taken as a single one. */
+    private static final Duration CALM_TIME = Duration.ofSeconds(2);
+
     private static final Duration FIRST_BACKOFF = Duration.ofMillis(50);
     private static final Duration LONGEST_BACKOFF = Duration.ofMillis(800);
 
@@ -37,15 +44,19 @@
     private final Backoff backoff;
     private final BlockingQueue<Reading> readings = new LinkedBlockingQueue<>();
     private final Duration watchWait;
+    private final MonotonicClock clock;
+    private Duration changedAt;
     private boolean failing;
+    private volatile boolean hurried;
 
     /**
      * Creates a follower.
      *
      * @param changeBound time in which a change must be known
      */
-    StoreFollower(FleetStore store, Duration changeBound, RandomGenerator random) {
+    StoreFollower(FleetStore store, MonotonicClock clock, Duration changeBound, RandomGenerator random) {
         this.store = store;
+        this.clock = clock;
         this.watchWait = changeBound.dividedBy(WATCHES_PER_BOUND);
         this.backoff = Backoff.create(FIRST_BACKOFF, LONGEST_BACKOFF, random);
     }
@@ -55,6 +66,11 @@
         return readings;
     }
 
+    /** Sets whether each change is wanted at once, however many there are. May be called from any thread. */
+    void hurry(boolean value) {
+        hurried = value;
+    }
+
     @Override
     public void run() {
         long revision = -1;
@@ -76,10 +92,16 @@
         }
     }
 
-    /** Lets changes that come close together arrive in one answer, as when a whole fleet starts. */
+    /** Lets changes that come close together arrive in one answer. */
     private void gather() {
+        Duration now = clock.now();
+        boolean calm = changedAt == null || now.minus(changedAt).compareTo(CALM_TIME) > 0;
+        Duration end = now.plus(calm ? GATHER_TIME : BUSY_GATHER_TIME);
+        changedAt = now;
         try {
-            Thread.sleep(GATHER_TIME.toMillis());
+            do {
+                Thread.sleep(GATHER_TIME.toMillis());
+            } while (!hurried && clock.now().compareTo(end) < 0);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/Suspicions.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/Suspicions.java
@@ -63,6 +63,11 @@
                 .count();
     }
 
+    /** Returns whether any daemon, this one included, does not reach a primary. */
+    boolean any(Directory directory) {
+        return !votes.isEmpty() || !directory.entriesUnder(PREFIX).isEmpty();
+    }
+
     /** Withdraws all votes. */
     void withdraw() {
         votes.values().forEach(LeasedEntry::remove);
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionFleet.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionFleet.java
@@ -1,9 +1,7 @@
 package org.lavenderwick.daemon;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.List;
 import java.util.Random;
@@ -15,6 +13,7 @@
 import org.lavenderwick.core.model.DaemonName;
 import org.lavenderwick.core.model.FailureDomain;
 import org.lavenderwick.platform.standin.DatabaseStandin;
+import org.lavenderwick.platform.standin.FreePorts;
 import org.lavenderwick.platform.standin.OperatorStandin;
 import org.lavenderwick.platform.standin.SessionClient;
 import org.lavenderwick.platform.standin.StoreStandin;
@@ -90,14 +89,14 @@
     /** Starts a daemon and waits until it serves. */
     Member startDaemon() throws Exception {
         int number = ++started;
-        InetSocketAddress address = freeAddress();
-        InetSocketAddress readiness = freeAddress();
+        InetSocketAddress address = FreePorts.next();
+        InetSocketAddress readiness = FreePorts.next();
         SessionDaemon daemon = SessionDaemon.start(new SessionSettings(
                 DaemonName.of("d" + number),
                 FailureDomain.of("z" + number),
                 address,
                 readiness,
-                freeAddress(),
+                FreePorts.next(),
                 store.address(),
                 database.ordersAddress(),
                 Duration.ofSeconds(3),
@@ -144,12 +143,6 @@
                 .count();
     }
 
-    private static InetSocketAddress freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
-        }
-    }
-
     @Override
     public void close() {
         members.forEach(member -> member.daemon().close());
--- /dev/null
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/fleet/StoreFollowerTest.java
@@ -0,0 +1,89 @@
+package org.lavenderwick.daemon.fleet;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.vavr.control.Either;
+import org.junit.jupiter.api.Test;
+import org.lavenderwick.core.error.Failure;
+import org.lavenderwick.core.store.FleetStore;
+import org.lavenderwick.core.store.StoreChange;
+import org.lavenderwick.core.store.StoreChanges;
+import org.lavenderwick.core.store.StoreEntry;
+import org.lavenderwick.core.store.StoreWrite;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class StoreFollowerTest {
+
+    private static final Duration LENGTH = Duration.ofMillis(2500);
+
+    @Test
+    void gathersChangesThatComeInCloseSuccession() throws Exception {
+        assertThat(watchesOfABusyStore(false)).isBetween(2, 6);
+    }
+
+    @Test
+    void takesEachChangeAtOnceWhileItIsHurried() throws Exception {
+        assertThat(watchesOfABusyStore(true)).isGreaterThan(15);
+    }
+
+    /** Follows a store in which something changes all the time, and returns how often it was asked. */
+    private static int watchesOfABusyStore(boolean hurried) throws InterruptedException {
+        BusyStore store = new BusyStore();
+        StoreFollower follower = new StoreFollower(
+                store, () -> Duration.ofNanos(System.nanoTime()), Duration.ofSeconds(3), new Random(1));
+        follower.hurry(hurried);
+        Thread thread = new Thread(follower);
+        thread.start();
+        Thread.sleep(LENGTH.toMillis());
+        thread.interrupt();
+        thread.join();
+        return store.watches.get();
+    }
+
+    private static final class BusyStore implements FleetStore {
+
+        private final AtomicInteger watches = new AtomicInteger();
+
+        @Override
+        public Either<Failure, StoreChanges> load() {
+            return Either.right(new StoreChanges(List.of(), 1));
+        }
+
+        @Override
+        public Either<Failure, StoreChanges> awaitChanges(long afterRevision, Duration wait) {
+            watches.incrementAndGet();
+            StoreChange change = new StoreChange.EntryChanged(new StoreEntry("hosts/a", "", afterRevision + 1));
+            return Either.right(new StoreChanges(List.of(change), afterRevision + 1));
+        }
+
+        @Override
+        public Either<Failure, Optional<StoreEntry>> read(String key) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Either<Failure, Long> write(StoreWrite write) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Either<Failure, Long> grantLease(Duration timeToLive) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Either<Failure, Long> renewLease(long lease) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Either<Failure, Long> endLease(long lease) {
+            throw new UnsupportedOperationException();
+        }
+    }
+}
