Let daemons of a large failure domain learn of the store from two of them

Now two daemons of a failure domain watch the store, and the others follow one of them over the peer address: everything first, then each change, with the age of what is known. A follower watches the store itself when its peer ends, falls silent or knows nothing new for three quarters of the time in which a configuration must be in force. A daemon that knows nothing asks the seeds of its settings when the store does not answer.

Not measured yet.

--- a/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/SessionSettings.java
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/SessionSettings.java
@@ -2,7 +2,9 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 
+import com.google.common.collect.ImmutableList;
 import org.lavenderwick.core.model.DaemonName;
 import org.lavenderwick.core.model.FailureDomain;
 
@@ -13,7 +15,8 @@
  * @param failureDomain the failure domain that the host stands in
  * @param callerAddress where sessions are accepted
  * @param readinessAddress where questions for readiness are answered
- * @param peerAddress where sessions that other daemons relay are accepted
+ * @param peerAddress where the connections of other daemons are accepted
+ * @param seeds peer addresses of a few daemons, which may be out of date
  * @param storeAddress where the store is
  * @param promotionAddress where promotions are ordered
  * @param changeBound time in which a change of the configuration must be in force
@@ -25,7 +28,14 @@
         InetSocketAddress callerAddress,
         InetSocketAddress readinessAddress,
         InetSocketAddress peerAddress,
+        List<InetSocketAddress> seeds,
         InetSocketAddress storeAddress,
         InetSocketAddress promotionAddress,
         Duration changeBound,
-        Duration stopTime) {}
+        Duration stopTime) {
+
+    /** Copies the list. */
+    public SessionSettings {
+        seeds = ImmutableList.copyOf(seeds);
+    }
+}
--- a/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/SessionSettingsLoader.java
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/SessionSettingsLoader.java
@@ -38,6 +38,7 @@
         String callers = reader.text("callerAddress", ADDRESS, Addresses::isIpAndPort);
         String readiness = reader.text("readinessAddress", ADDRESS, Addresses::isIpAndPort);
         String peer = reader.text("peerAddress", ADDRESS, Addresses::isIpAndPort);
+        List<String> seeds = reader.texts("seeds", ADDRESS, Addresses::isIpAndPort);
         String store = reader.text("storeAddress", ADDRESS, Addresses::isIpAndPort);
         String promotion = reader.text("promotionAddress", ADDRESS, Addresses::isIpAndPort);
         Duration changeBound = reader.millis("configurationMs", MAX_CHANGE_BOUND, DEFAULT_CHANGE_BOUND);
@@ -52,6 +53,7 @@
                 Addresses.socketAddress(callers),
                 Addresses.socketAddress(readiness),
                 Addresses.socketAddress(peer),
+                seeds.stream().map(Addresses::socketAddress).toList(),
                 Addresses.socketAddress(store),
                 Addresses.socketAddress(promotion),
                 changeBound,
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/store/FleetStore.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/store/FleetStore.java
@@ -22,6 +22,9 @@
      */
     Either<Failure, StoreChanges> awaitChanges(long afterRevision, Duration wait);
 
+    /** Decodes a change as another daemon passes it on; empty if it is none. */
+    Optional<StoreChange> decode(String encoded);
+
     /** Reads an entry of the fleet at its newest revision. */
     Either<Failure, Optional<StoreEntry>> read(String key);
 
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SimulatedStore.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SimulatedStore.java
@@ -12,6 +12,7 @@
 import org.lavenderwick.core.error.ErrorKind;
 import org.lavenderwick.core.error.Failure;
 import org.lavenderwick.core.store.FleetStore;
+import org.lavenderwick.core.store.StoreChange;
 import org.lavenderwick.core.store.StoreChanges;
 import org.lavenderwick.core.store.StoreEntry;
 import org.lavenderwick.core.store.StoreWrite;
@@ -37,6 +38,11 @@
         this.leasesEnd = leasesEnd;
     }
 
+    @Override
+    public Optional<StoreChange> decode(String encoded) {
+        throw new UnsupportedOperationException();
+    }
+
     /** Sets the share of calls that go wrong. */
     void faults(double share) {
         faults = share;
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
@@ -86,17 +86,17 @@
         FleetControl control = new FleetControl(
                 settings.daemon(),
                 new Peer(settings.failureDomain(), settings.peerAddress()),
+                settings.seeds(),
                 StoreClient.create(() -> inForce.get().storeAddress(), STORE_TIMEOUT),
                 codec,
                 PromoteCall.create(() -> inForce.get().promotionAddress(), settings.daemon(), PROMOTION_TIMEOUT),
                 clock,
                 random,
                 settings.changeBound(),
-                view -> loop.execute(() -> proxy.apply(view)),
                 proxy);
         SessionDaemon daemon = new SessionDaemon(settings, inForce, loop, proxy, control, clock);
         Acceptor.sessions(loop, settings.callerAddress(), proxy);
-        Acceptor.relayedSessions(loop, settings.peerAddress(), proxy);
+        Acceptor.peers(loop, settings.peerAddress(), proxy);
         Acceptor.readiness(loop, settings.readinessAddress(), new Readiness(new ReadyProbe(), daemon::isReady));
         control.follow();
         daemon.controlThread = startThread("control", control);
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
@@ -1,5 +1,6 @@
 package org.lavenderwick.daemon.fleet;
 
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -8,7 +9,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 import org.jboss.logging.Logger;
@@ -30,7 +30,7 @@
 import org.lavenderwick.core.time.MonotonicClock;
 import org.lavenderwick.daemon.session.FleetView;
 import org.lavenderwick.daemon.session.Peer;
-import org.lavenderwick.daemon.session.TrafficState;
+import org.lavenderwick.daemon.session.Traffic;
 
 /**
  * The control thread: follows the store, keeps the evidence of terms and this daemon's entries, and starts failovers.
@@ -60,8 +60,7 @@
     private final Suspicions suspicions;
     private final Failovers failovers;
     private final LeasedEntry hostEntry;
-    private final Consumer<FleetView> listener;
-    private final TrafficState traffic;
+    private final Traffic traffic;
     private final Map<GroupName, Duration> missingSince = new HashMap<>();
     private FleetView published = FleetView.EMPTY;
     private boolean serving;
@@ -75,32 +74,31 @@
      * Creates a control thread's work.
      *
      * @param self how other daemons reach this one
+     * @param seeds daemons that are asked while the store does not answer and nothing is known yet
      * @param changeBound time in which a change of the configuration must be in force
-     * @param listener hears of each change of what is known, on the control thread
-     * @param traffic what the traffic thread finds out
+     * @param traffic hears of each change of what is known, and tells what it finds out
      */
     public FleetControl(
             DaemonName daemon,
             Peer self,
+            List<InetSocketAddress> seeds,
             FleetStore store,
             EndpointCodec codec,
             PromotionPort promotions,
             MonotonicClock clock,
             RandomGenerator random,
             Duration changeBound,
-            Consumer<FleetView> listener,
-            TrafficState traffic) {
+            Traffic traffic) {
         this.daemon = daemon;
         this.hostValue = Hosts.encode(self);
         this.store = store;
         this.codec = codec;
         this.clock = clock;
-        this.follower = new StoreFollower(store, clock, changeBound, random);
+        this.follower = new StoreFollower(store, clock, traffic, seeds, changeBound, random);
         this.terms = new TermKeeper(store, clock);
         this.suspicions = new Suspicions(daemon, store);
         this.failovers = new Failovers(store, codec, promotions, clock);
         this.hostEntry = new LeasedEntry(store, Hosts.key(daemon), HOST_LEASE);
-        this.listener = listener;
         this.traffic = traffic;
     }
 
@@ -191,7 +189,10 @@
             published = view;
             // Evidence of a primary is of use only to a daemon that holds connections to endpoints.
             serving = view.servesAny(daemon);
-            listener.accept(view);
+            follower.peers(Watchers.of(daemon, view.peers()).stream()
+                    .map(Peer::address)
+                    .toList());
+            traffic.apply(view);
             configured = view.catalog().isPresent();
         }
     }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/StoreFollower.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/StoreFollower.java
@@ -1,6 +1,9 @@
 package org.lavenderwick.daemon.fleet;
 
+import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.random.RandomGenerator;
@@ -13,8 +16,12 @@
 import org.lavenderwick.core.store.StoreChanges;
 import org.lavenderwick.core.time.Backoff;
 import org.lavenderwick.core.time.MonotonicClock;
+import org.lavenderwick.daemon.session.Traffic;
 
-/** Follows the store on a thread of its own: reads everything once and then waits for changes. */
+/**
+ * Follows the store on a thread of its own: reads everything once and then waits for changes, of the store itself or of
+ * a peer that watches it. Knowledge of a peer that has grown old is not relied on.
+ */
 final class StoreFollower implements Runnable {
 
     /**
@@ -23,15 +30,21 @@
      */
     private static final int WATCHES_PER_BOUND = 2;
 
+    /** Part of the same time for which changes in close succession, as when a whole fleet starts, are gathered. */
+    private static final int GATHERINGS_PER_BOUND = 6;
+
+    /** Part of the same time after which the knowledge of a peer is too old: more than a watch and a gathering take. */
+    private static final double MAX_PEER_AGE_PER_BOUND = 0.75;
+
     /** Pause between an answer with changes and the next watch; small beside the time for a change to be known. */
     private static final Duration GATHER_TIME = Duration.ofMillis(50);
 
-    /** The same pause while changes come in close succession, as when a whole fleet starts. */
-    private static final Duration BUSY_GATHER_TIME = Duration.ofSeconds(1);
-
     /** Time without changes after which the next one is taken as a single one. */
     private static final Duration CALM_TIME = Duration.ofSeconds(2);
 
+    /** Time for which peers are not followed after one of them has failed; longer than a watch. */
+    private static final Duration PEER_PAUSE = Duration.ofSeconds(5);
+
     private static final Duration FIRST_BACKOFF = Duration.ofMillis(50);
     private static final Duration LONGEST_BACKOFF = Duration.ofMillis(800);
 
@@ -41,23 +54,42 @@
     record Reading(boolean complete, StoreChanges changes) {}
 
     private final FleetStore store;
+    private final MonotonicClock clock;
+    private final Traffic traffic;
     private final Backoff backoff;
     private final BlockingQueue<Reading> readings = new LinkedBlockingQueue<>();
     private final Duration watchWait;
-    private final MonotonicClock clock;
+    private final Duration busyGatherTime;
+    private final Duration maxPeerAge;
+    private final List<InetSocketAddress> seeds;
+    private long revision = -1;
+    private int failures;
     private Duration changedAt;
-    private boolean failing;
+    private Duration peersAvoidedUntil = Duration.ZERO;
+    private int peerTurn;
     private volatile boolean hurried;
+    private volatile List<InetSocketAddress> peers = List.of();
 
     /**
      * Creates a follower.
      *
+     * @param seeds daemons that are asked while the store does not answer and nothing is known yet
      * @param changeBound time in which a change must be known
      */
-    StoreFollower(FleetStore store, MonotonicClock clock, Duration changeBound, RandomGenerator random) {
+    StoreFollower(
+            FleetStore store,
+            MonotonicClock clock,
+            Traffic traffic,
+            List<InetSocketAddress> seeds,
+            Duration changeBound,
+            RandomGenerator random) {
         this.store = store;
         this.clock = clock;
+        this.traffic = traffic;
+        this.seeds = List.copyOf(seeds);
         this.watchWait = changeBound.dividedBy(WATCHES_PER_BOUND);
+        this.busyGatherTime = changeBound.dividedBy(GATHERINGS_PER_BOUND);
+        this.maxPeerAge = Duration.ofMillis((long) (changeBound.toMillis() * MAX_PEER_AGE_PER_BOUND));
         this.backoff = Backoff.create(FIRST_BACKOFF, LONGEST_BACKOFF, random);
     }
 
@@ -71,24 +103,84 @@
         hurried = value;
     }
 
+    /** Sets the peers to follow, the first one preferred; none to watch the store. May be called from any thread. */
+    void peers(List<InetSocketAddress> addresses) {
+        peers = addresses;
+    }
+
     @Override
     public void run() {
-        long revision = -1;
         while (!Thread.currentThread().isInterrupted()) {
-            boolean complete = revision < 0;
-            Either<Failure, StoreChanges> read = complete ? store.load() : store.awaitChanges(revision, watchWait);
-            if (read.isRight()) {
-                succeeded();
-                revision = read.get().revision();
-                if (complete || !read.get().changes().isEmpty()) {
-                    readings.add(new Reading(complete, read.get()));
-                    gather();
+            List<InetSocketAddress> followed = peers;
+            if (revision < 0 || followed.isEmpty() || clock.now().compareTo(peersAvoidedUntil) < 0) {
+                if (!watchStore()) {
+                    return;
+                }
+            } else {
+                followPeer(followed.get(peerTurn % followed.size()));
+            }
+        }
+    }
+
+    /** Asks the store once; returns false if the thread was interrupted. */
+    private boolean watchStore() {
+        boolean complete = revision < 0;
+        Either<Failure, StoreChanges> read = complete ? store.load() : store.awaitChanges(revision, watchWait);
+        if (read.isRight()) {
+            succeeded();
+            publish(complete, read.get(), Duration.ZERO);
+            if (complete || !read.get().changes().isEmpty()) {
+                gather();
+            }
+        } else if (read.getLeft().kind() == ErrorKind.HISTORY_UNAVAILABLE) {
+            revision = -1;
+        } else {
+            return pauseAfter(read.getLeft());
+        }
+        return true;
+    }
+
+    private void publish(boolean complete, StoreChanges changes, Duration age) {
+        revision = changes.revision();
+        traffic.passOn(complete, changes, clock.now().minus(age));
+        if (complete || !changes.changes().isEmpty()) {
+            readings.add(new Reading(complete, changes));
+        }
+    }
+
+    /** Follows a peer as long as it is to be followed and its knowledge is young. */
+    private void followPeer(InetSocketAddress peer) {
+        try (PeerFeed feed = PeerFeed.open(peer, store::decode)) {
+            boolean complete = true;
+            while (peers.contains(peer) && !Thread.currentThread().isInterrupted()) {
+                PeerFeed.Batch batch = feed.next();
+                if (batch.age().compareTo(maxPeerAge) > 0 || batch.changes().revision() < revision) {
+                    throw new IOException("its knowledge is too old");
                 }
-            } else if (read.getLeft().kind() == ErrorKind.HISTORY_UNAVAILABLE) {
-                revision = -1;
-            } else if (!pauseAfter(read.getLeft())) {
-                return;
+                publish(complete, batch.changes(), batch.age());
+                complete = false;
             }
+        } catch (IOException e) {
+            LOG.debugf("[fleet] The peer at %s is not followed: %s.", peer, e.getMessage());
+            peersAvoidedUntil = clock.now().plus(PEER_PAUSE);
+            peerTurn++;
+        }
+    }
+
+    /** Takes over what a daemon knows, however old, as long as nothing better is known. */
+    private void askSeed() {
+        if (revision >= 0 || seeds.isEmpty()) {
+            return;
+        }
+        InetSocketAddress seed = seeds.get(failures % seeds.size());
+        try (PeerFeed feed = PeerFeed.open(seed, store::decode)) {
+            PeerFeed.Batch batch = feed.next();
+            LOG.infof(
+                    "[fleet] The daemon at %s knew the store %d ms ago.",
+                    seed, batch.age().toMillis());
+            publish(true, batch.changes(), batch.age());
+        } catch (IOException e) {
+            LOG.debugf("[fleet] The daemon at %s tells nothing: %s.", seed, e.getMessage());
         }
     }
 
@@ -96,7 +188,7 @@
     private void gather() {
         Duration now = clock.now();
         boolean calm = changedAt == null || now.minus(changedAt).compareTo(CALM_TIME) > 0;
-        Duration end = now.plus(calm ? GATHER_TIME : BUSY_GATHER_TIME);
+        Duration end = now.plus(calm ? GATHER_TIME : busyGatherTime);
         changedAt = now;
         try {
             do {
@@ -109,17 +201,18 @@
 
     private void succeeded() {
         backoff.reset();
-        if (failing) {
-            failing = false;
+        if (failures > 0) {
+            failures = 0;
             LOG.info("[fleet] The store answers again.");
         }
     }
 
     private boolean pauseAfter(Failure failure) {
-        if (!failing) {
-            failing = true;
+        if (failures == 0) {
             LOG.warnf("[fleet] The store does not answer: %s.", failure.detail());
         }
+        failures++;
+        askSeed();
         try {
             Thread.sleep(backoff.nextDelay().toMillis());
             return true;
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/Acceptor.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/Acceptor.java
@@ -39,20 +39,17 @@
 
     /** Accepts callers' sessions at an address. */
     public static void sessions(EventLoop loop, InetSocketAddress address, SessionProxy proxy) throws IOException {
-        sessions(loop, address, proxy, false);
-    }
-
-    /** Accepts sessions that other daemons relay at an address. */
-    public static void relayedSessions(EventLoop loop, InetSocketAddress address, SessionProxy proxy)
-            throws IOException {
-        sessions(loop, address, proxy, true);
+        listen(loop, address, channel -> {
+            CallerConnection session = proxy.newSession(false);
+            session.attach(LineConnection.accepted(loop, channel, session));
+        });
     }
 
-    private static void sessions(EventLoop loop, InetSocketAddress address, SessionProxy proxy, boolean relayed)
-            throws IOException {
+    /** Accepts the connections of other daemons at an address. */
+    public static void peers(EventLoop loop, InetSocketAddress address, SessionProxy proxy) throws IOException {
         listen(loop, address, channel -> {
-            CallerConnection session = proxy.newSession(relayed);
-            session.attach(LineConnection.accepted(loop, channel, session));
+            PeerConnection peer = proxy.newPeerConnection();
+            peer.attach(LineConnection.accepted(loop, channel, peer));
         });
     }
 
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/Peer.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/Peer.java
@@ -8,6 +8,6 @@
  * Another daemon.
  *
  * @param domain the failure domain that it stands in
- * @param address where it takes sessions that other daemons relay
+ * @param address where it takes the connections of other daemons
  */
 public record Peer(FailureDomain domain, InetSocketAddress address) {}
--- /dev/null
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/PeerConnection.java
@@ -0,0 +1,55 @@
+package org.lavenderwick.daemon.session;
+
+/** The connection of another daemon: its first line asks for the feed of the fleet or begins a relayed session. */
+final class PeerConnection implements LineConnection.Listener {
+
+    private final SessionProxy proxy;
+    private final FleetFeed feed;
+    private LineConnection line;
+    private CallerConnection session;
+
+    PeerConnection(SessionProxy proxy, FleetFeed feed) {
+        this.proxy = proxy;
+        this.feed = feed;
+    }
+
+    void attach(LineConnection connection) {
+        line = connection;
+    }
+
+    @Override
+    public void connected() {
+        // Accepted connections are connected from the start.
+    }
+
+    @Override
+    public void line(String text) {
+        if (session == null && text.equals(FeedLines.FOLLOW)) {
+            feed.follow(line);
+        } else {
+            session().line(text);
+        }
+    }
+
+    private CallerConnection session() {
+        if (session == null) {
+            session = proxy.newSession(true);
+            session.attach(line);
+        }
+        return session;
+    }
+
+    @Override
+    public void closed(String reason) {
+        feed.forget(line);
+        if (session != null) {
+            session.closed(reason);
+        }
+    }
+
+    @Override
+    public void malformed(boolean tooLong) {
+        feed.forget(line);
+        session().malformed(tooLong);
+    }
+}
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
@@ -27,9 +27,10 @@
 import org.lavenderwick.core.model.EndpointName;
 import org.lavenderwick.core.model.FailureDomain;
 import org.lavenderwick.core.model.GroupName;
+import org.lavenderwick.core.store.StoreChanges;
 
 /** All sessions of this daemon and the groups that serve them. Confined to the traffic thread, unless noted. */
-public final class SessionProxy implements EventLoop.Ticker, TrafficState {
+public final class SessionProxy implements EventLoop.Ticker, Traffic {
 
     /** Stands in for the idle time of transactions while no configuration is known; no transaction is open then. */
     private static final Duration NO_LIMIT = Duration.ofDays(1);
@@ -43,6 +44,7 @@
     private final FailureDomain domain;
     private final RandomGenerator random;
     private final ClockGuard clockGuard;
+    private final FleetFeed feed;
     private final Map<GroupName, GroupDispatcher> dispatchers = new HashMap<>();
     private final Set<CallerConnection> sessions = new HashSet<>();
     private FleetView view = FleetView.EMPTY;
@@ -68,6 +70,7 @@
         this.domain = domain;
         this.random = random;
         this.clockGuard = clockGuard;
+        this.feed = new FleetFeed(loop);
         this.shuffling = new Random(random.nextLong());
         loop.onTick(this);
         loop.afterWake(this::checkClock);
@@ -80,8 +83,22 @@
         return session;
     }
 
-    /** Takes what the control thread knows. A configuration older than the one in force is ignored. */
+    /** Returns a new connection of another daemon. */
+    PeerConnection newPeerConnection() {
+        return new PeerConnection(this, feed);
+    }
+
+    @Override
     public void apply(FleetView newView) {
+        loop.execute(() -> take(newView));
+    }
+
+    @Override
+    public void passOn(boolean complete, StoreChanges changes, Duration currentSince) {
+        loop.execute(() -> feed.take(complete, changes, currentSince));
+    }
+
+    private void take(FleetView newView) {
         view = newView;
         newView.catalog().ifPresent(catalog -> catalog.maxConnections().keySet().forEach(this::dispatcher));
         dispatchers.values().forEach(dispatcher -> dispatcher.apply(newView));
@@ -185,6 +202,7 @@
         if (draining != null) {
             draining.tick(now, sessions);
         }
+        feed.tick(now);
         openSessions = sessions.size();
         return waiting || draining != null;
     }
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionFleet.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionFleet.java
@@ -35,7 +35,8 @@
     static final int ENDPOINTS = 3;
 
     /** One daemon with the addresses that it listens at. */
-    record Member(SessionDaemon daemon, InetSocketAddress address, InetSocketAddress readiness) {}
+    record Member(
+            SessionDaemon daemon, InetSocketAddress address, InetSocketAddress readiness, InetSocketAddress peers) {}
 
     private final StoreStandin store;
     private final DatabaseStandin database;
@@ -55,6 +56,11 @@
         return fleet;
     }
 
+    /** Returns the daemons that run. */
+    List<Member> members() {
+        return List.copyOf(members);
+    }
+
     /** Returns the daemon that was started first. */
     Member first() {
         return members.get(0);
@@ -68,7 +74,11 @@
 
     /** Ends one of the daemons at once. */
     void killOne(Random random) {
-        Member member = any(random);
+        kill(any(random));
+    }
+
+    /** Ends a daemon at once. */
+    void kill(Member member) {
         members.remove(member);
         member.daemon().close();
     }
@@ -86,24 +96,32 @@
         return database;
     }
 
-    /** Starts a daemon and waits until it serves. */
+    /** Starts a daemon in a failure domain of its own and waits until it serves. */
     Member startDaemon() throws Exception {
+        Member member = launchDaemon("z" + (started + 1), List.of());
+        awaitService(member);
+        return member;
+    }
+
+    /** Starts a daemon and returns at once. */
+    Member launchDaemon(String domain, List<InetSocketAddress> seeds) throws Exception {
         int number = ++started;
         InetSocketAddress address = FreePorts.next();
         InetSocketAddress readiness = FreePorts.next();
+        InetSocketAddress peers = FreePorts.next();
         SessionDaemon daemon = SessionDaemon.start(new SessionSettings(
                 DaemonName.of("d" + number),
-                FailureDomain.of("z" + number),
+                FailureDomain.of(domain),
                 address,
                 readiness,
-                FreePorts.next(),
+                peers,
+                seeds,
                 store.address(),
                 database.ordersAddress(),
                 Duration.ofSeconds(3),
                 Duration.ofSeconds(6)));
-        Member member = new Member(daemon, address, readiness);
+        Member member = new Member(daemon, address, readiness, peers);
         members.add(member);
-        awaitService(member);
         return member;
     }
 
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/fleet/DirectoryTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/fleet/DirectoryTest.java
@@ -53,7 +53,7 @@
         @Test
         void staysWhenAReadingLacksIt() {
             directory.apply(catalog(7), START);
-            directory.replace(new StoreChanges(List.of(), 9), START);
+            directory.replace(new StoreChanges(List.of(), List.of(), 9), START);
             assertThat(directory.catalog()).isPresent();
         }
     }
@@ -85,7 +85,9 @@
         @Test
         void thatAReadingLacksAreRemoved() {
             directory.apply(new StoreChange.EndpointChanged(endpoint("e1")), START);
-            directory.replace(new StoreChanges(List.of(new StoreChange.EndpointChanged(endpoint("e2"))), 9), START);
+            directory.replace(
+                    new StoreChanges(List.of(new StoreChange.EndpointChanged(endpoint("e2"))), List.of("e2"), 9),
+                    START);
             directory.expire(START.plusSeconds(3));
             assertThat(directory.endpoints()).containsOnlyKeys(EndpointName.of("e2"));
         }
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/fleet/StoreFollowerTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/fleet/StoreFollowerTest.java
@@ -4,16 +4,20 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.vavr.control.Either;
 import org.junit.jupiter.api.Test;
 import org.lavenderwick.core.error.Failure;
+import org.lavenderwick.core.model.EndpointName;
 import org.lavenderwick.core.store.FleetStore;
 import org.lavenderwick.core.store.StoreChange;
 import org.lavenderwick.core.store.StoreChanges;
 import org.lavenderwick.core.store.StoreEntry;
 import org.lavenderwick.core.store.StoreWrite;
+import org.lavenderwick.daemon.session.FleetView;
+import org.lavenderwick.daemon.session.Traffic;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -35,7 +39,12 @@
     private static int watchesOfABusyStore(boolean hurried) throws InterruptedException {
         BusyStore store = new BusyStore();
         StoreFollower follower = new StoreFollower(
-                store, () -> Duration.ofNanos(System.nanoTime()), Duration.ofSeconds(3), new Random(1));
+                store,
+                () -> Duration.ofNanos(System.nanoTime()),
+                new IdleTraffic(),
+                List.of(),
+                Duration.ofSeconds(3),
+                new Random(1));
         follower.hurry(hurried);
         Thread thread = new Thread(follower);
         thread.start();
@@ -45,20 +54,48 @@
         return store.watches.get();
     }
 
+    private static final class IdleTraffic implements Traffic {
+
+        @Override
+        public void apply(FleetView view) {
+            // Nothing is served.
+        }
+
+        @Override
+        public void passOn(boolean complete, StoreChanges changes, Duration currentSince) {
+            // Nobody follows.
+        }
+
+        @Override
+        public Set<EndpointName> suspects() {
+            return Set.of();
+        }
+
+        @Override
+        public boolean isBusy() {
+            return false;
+        }
+    }
+
     private static final class BusyStore implements FleetStore {
 
         private final AtomicInteger watches = new AtomicInteger();
 
         @Override
         public Either<Failure, StoreChanges> load() {
-            return Either.right(new StoreChanges(List.of(), 1));
+            return Either.right(new StoreChanges(List.of(), List.of(), 1));
         }
 
         @Override
         public Either<Failure, StoreChanges> awaitChanges(long afterRevision, Duration wait) {
             watches.incrementAndGet();
             StoreChange change = new StoreChange.EntryChanged(new StoreEntry("hosts/a", "", afterRevision + 1));
-            return Either.right(new StoreChanges(List.of(change), afterRevision + 1));
+            return Either.right(new StoreChanges(List.of(change), List.of("changed"), afterRevision + 1));
+        }
+
+        @Override
+        public Optional<StoreChange> decode(String encoded) {
+            throw new UnsupportedOperationException();
         }
 
         @Override
