Show operators a fleet of session daemons and its replaced primaries from the store

lavenderwick fleet status and fleet audit read the store that daemons share. Each replacement of a primary is added to a trail of its group in the store, of 50 at most.

--- a/lavenderwick-cli/src/main/java/org/lavenderwick/cli/Main.java
+++ b/lavenderwick-cli/src/main/java/org/lavenderwick/cli/Main.java
@@ -28,6 +28,8 @@
                 new DrainCommand(),
                 new PromoteCommand(),
                 new AuditCommand(),
+                new FleetStatusCommand(),
+                new FleetAuditCommand(),
                 new StandinsCommand(),
                 new DemoCommand(),
                 new BenchCommand());
--- /dev/null
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/FailoverTrail.java
@@ -0,0 +1,104 @@
+package org.lavenderwick.core.failover;
+
+import java.time.Instant;
+import java.time.format.DateTimeParseException;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+import com.google.common.base.Joiner;
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableList;
+import org.lavenderwick.core.model.DaemonName;
+import org.lavenderwick.core.model.EndpointName;
+import org.lavenderwick.core.model.GroupName;
+
+/** The latest replacements of the primary of one group, oldest first, as an entry of the store. Immutable. */
+public final class FailoverTrail {
+
+    /** Replacements that are kept; a group has a few a day at most. */
+    static final int MAX_LENGTH = 50;
+
+    /** First part of the keys of the entries. */
+    public static final String PREFIX = "audit/";
+
+    /** A trail without any replacement. */
+    public static final FailoverTrail EMPTY = new FailoverTrail(List.of());
+
+    private static final char SEPARATOR = '\t';
+    private static final int FIELDS = 5;
+
+    /**
+     * One replacement.
+     *
+     * @param at when the new primary was found to lead, by the clock of the daemon
+     * @param by the daemon that had the duty
+     * @param from the primary before
+     * @param to the primary since
+     * @param reason why the primary was replaced
+     */
+    public record Replacement(Instant at, DaemonName by, EndpointName from, EndpointName to, String reason) {}
+
+    private final List<Replacement> replacements;
+
+    private FailoverTrail(List<Replacement> replacements) {
+        this.replacements = ImmutableList.copyOf(replacements);
+    }
+
+    /** Returns the key of the entry of a group. */
+    public static String key(GroupName group) {
+        return PREFIX + group.value();
+    }
+
+    /** Returns the trail that a text of {@link #encode} stands for; lines that cannot be read are left out. */
+    public static FailoverTrail decode(String text) {
+        return new FailoverTrail(Splitter.on('\n')
+                .omitEmptyStrings()
+                .splitToStream(text)
+                .flatMap(line -> decodeLine(line).stream())
+                .toList());
+    }
+
+    private static Optional<Replacement> decodeLine(String line) {
+        List<String> fields = Splitter.on(SEPARATOR).splitToList(line);
+        if (fields.size() != FIELDS) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(new Replacement(
+                    Instant.parse(fields.get(0)),
+                    DaemonName.of(fields.get(1)),
+                    EndpointName.of(fields.get(2)),
+                    EndpointName.of(fields.get(3)),
+                    fields.get(4)));
+        } catch (DateTimeParseException | IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
+    /** Returns the text form, a line for each replacement. */
+    public String encode() {
+        return Joiner.on('\n')
+                .join(replacements.stream()
+                        .map(entry -> Joiner.on(SEPARATOR)
+                                .join(
+                                        entry.at(),
+                                        entry.by().value(),
+                                        entry.from().value(),
+                                        entry.to().value(),
+                                        entry.reason()))
+                        .toList());
+    }
+
+    /** Returns a trail with one more replacement; the oldest one is dropped if it would grow too long. */
+    public FailoverTrail with(Replacement replacement) {
+        return new FailoverTrail(Stream.concat(replacements.stream(), Stream.of(replacement))
+                .skip(Math.max(0, replacements.size() + 1L - MAX_LENGTH))
+                .toList());
+    }
+
+    /** Returns the replacements, oldest first. */
+    public List<Replacement> replacements() {
+        return replacements;
+    }
+}
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.time.InstantSource;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.random.RandomGenerator;
@@ -11,6 +10,7 @@
 import org.jboss.logging.Logger;
 import org.lavenderwick.adapters.session.EndpointCodec;
 import org.lavenderwick.adapters.settings.SessionSettings;
+import org.lavenderwick.core.time.Clocks;
 import org.lavenderwick.core.time.MonotonicClock;
 import org.lavenderwick.daemon.fleet.FleetControl;
 import org.lavenderwick.daemon.session.Acceptor;
@@ -70,7 +70,8 @@
 
     /** Starts a daemon. */
     static SessionDaemon start(SessionSettings settings) throws IOException {
-        MonotonicClock clock = () -> Duration.ofNanos(System.nanoTime());
+        Clocks clocks = Clocks.system();
+        MonotonicClock clock = clocks.steady();
         RandomGenerator random = new Random();
         EndpointCodec codec = new LineEndpointCodec();
         AtomicReference<SessionSettings> inForce = new AtomicReference<>(settings);
@@ -82,7 +83,7 @@
                 settings.daemon(),
                 settings.failureDomain(),
                 random,
-                ClockGuard.create(clock, InstantSource.system()));
+                ClockGuard.create(clock, clocks.timeOfDay()));
         FleetControl control = new FleetControl(
                 settings.daemon(),
                 new Peer(settings.failureDomain(), settings.peerAddress()),
@@ -90,7 +91,7 @@
                 StoreClient.create(() -> inForce.get().storeAddress(), STORE_TIMEOUT),
                 codec,
                 PromoteCall.create(() -> inForce.get().promotionAddress(), settings.daemon(), PROMOTION_TIMEOUT),
-                clock,
+                clocks,
                 random,
                 settings.changeBound(),
                 proxy);
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/Failovers.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/Failovers.java
@@ -1,6 +1,7 @@
 package org.lavenderwick.daemon.fleet;
 
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -12,12 +13,17 @@
 import org.lavenderwick.core.failover.FailoverOutcome;
 import org.lavenderwick.core.failover.FailoverRun;
 import org.lavenderwick.core.failover.FailoverTimings;
+import org.lavenderwick.core.failover.FailoverTrail;
 import org.lavenderwick.core.failover.GroupTerm;
 import org.lavenderwick.core.failover.PromotionPort;
 import org.lavenderwick.core.failover.TermPhase;
+import org.lavenderwick.core.model.DaemonName;
 import org.lavenderwick.core.model.EndpointName;
 import org.lavenderwick.core.model.GroupName;
 import org.lavenderwick.core.store.FleetStore;
+import org.lavenderwick.core.store.StoreEntry;
+import org.lavenderwick.core.store.StoreWrite;
+import org.lavenderwick.core.time.Clocks;
 import org.lavenderwick.core.time.MonotonicClock;
 
 /** Decides when a primary is replaced, and runs the replacements, each on a thread of its own. */
@@ -46,19 +52,23 @@
     /** Why a primary is to be replaced, and since when. */
     private record Reason(String text, GroupTerm term, Duration since) {}
 
+    private final DaemonName daemon;
     private final FleetStore store;
     private final EndpointCodec codec;
     private final PromotionPort promotions;
     private final MonotonicClock clock;
+    private final InstantSource timeOfDay;
     private final Map<GroupName, Reason> reasons = new HashMap<>();
     private final Map<GroupName, Duration> attemptedAt = new HashMap<>();
     private final Map<GroupName, Thread> running = new HashMap<>();
 
-    Failovers(FleetStore store, EndpointCodec codec, PromotionPort promotions, MonotonicClock clock) {
+    Failovers(DaemonName daemon, FleetStore store, EndpointCodec codec, PromotionPort promotions, Clocks clocks) {
+        this.daemon = daemon;
         this.store = store;
         this.codec = codec;
         this.promotions = promotions;
-        this.clock = clock;
+        this.clock = clocks.steady();
+        this.timeOfDay = clocks.timeOfDay();
     }
 
     /**
@@ -133,13 +143,13 @@
 
     private void start(GroupName group, GroupTerm term, Map<EndpointName, EndpointEntry> members, String text) {
         LOG.infof("[failover] Begins for %s, as %s (%s).", group, text, term.primary());
-        Thread thread = new Thread(() -> run(group, term, members), "failover");
+        Thread thread = new Thread(() -> run(group, term, members, text), "failover");
         thread.setDaemon(true);
         running.put(group, thread);
         thread.start();
     }
 
-    private void run(GroupName group, GroupTerm term, Map<EndpointName, EndpointEntry> members) {
+    private void run(GroupName group, GroupTerm term, Map<EndpointName, EndpointEntry> members, String reason) {
         try (EndpointOrders orders = new EndpointOrders(codec)) {
             FailoverRun run = FailoverRun.create(
                     group, members.values(), term.primary(), store, orders, promotions, FailoverTimings.DEFAULTS);
@@ -160,11 +170,31 @@
                     run.outcome(),
                     run.candidate().map(EndpointName::value).orElse("none"),
                     run.cause());
+            if (run.outcome() == FailoverOutcome.DONE) {
+                record(group, term.primary(), run.candidate().orElseThrow(), reason);
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    /** Adds a replacement to the trail of its group; the log has it in any case. */
+    private void record(GroupName group, EndpointName from, EndpointName to, String reason) {
+        String key = FailoverTrail.key(group);
+        FailoverTrail.Replacement replacement =
+                new FailoverTrail.Replacement(timeOfDay.instant(), daemon, from, to, reason);
+        store.read(key)
+                .flatMap(entry -> {
+                    FailoverTrail trail = entry.map(found -> FailoverTrail.decode(found.value()))
+                            .orElse(FailoverTrail.EMPTY);
+                    long revision = entry.map(StoreEntry::revision).orElse(StoreWrite.ABSENT);
+                    return store.write(new StoreWrite(
+                            key, revision, trail.with(replacement).encode(), StoreWrite.NO_LEASE));
+                })
+                .peekLeft(failure ->
+                        LOG.warnf("[failover] The trail of %s was not written: %s", group, failure.detail()));
+    }
+
     /** Forgets the failovers that have ended. */
     void forgetEnded() {
         running.values().removeIf(thread -> !thread.isAlive());
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
@@ -27,6 +27,7 @@
 import org.lavenderwick.core.store.StoreChange;
 import org.lavenderwick.core.store.StoreEntry;
 import org.lavenderwick.core.store.StoreWrite;
+import org.lavenderwick.core.time.Clocks;
 import org.lavenderwick.core.time.MonotonicClock;
 import org.lavenderwick.daemon.session.FleetView;
 import org.lavenderwick.daemon.session.Peer;
@@ -85,7 +86,7 @@
             FleetStore store,
             EndpointCodec codec,
             PromotionPort promotions,
-            MonotonicClock clock,
+            Clocks clocks,
             RandomGenerator random,
             Duration changeBound,
             Traffic traffic) {
@@ -93,11 +94,11 @@
         this.hostValue = Hosts.encode(self);
         this.store = store;
         this.codec = codec;
-        this.clock = clock;
+        this.clock = clocks.steady();
         this.follower = new StoreFollower(store, clock, traffic, seeds, changeBound, random);
         this.terms = new TermKeeper(store, clock);
         this.suspicions = new Suspicions(daemon, store);
-        this.failovers = new Failovers(store, codec, promotions, clock);
+        this.failovers = new Failovers(daemon, store, codec, promotions, clocks);
         this.hostEntry = new LeasedEntry(store, Hosts.key(daemon), HOST_LEASE);
         this.traffic = traffic;
     }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/Suspicions.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/Suspicions.java
@@ -34,7 +34,7 @@
         this.store = store;
     }
 
-    private static String prefix(GroupName group) {
+    static String prefix(GroupName group) {
         return PREFIX + group.value() + "/";
     }
 
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionChangesTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionChangesTest.java
@@ -101,6 +101,9 @@
             }
             assertThat(database.promotions()).hasSize(1);
             assertThat(database.fences()).doesNotContain(0L);
+            await(() -> store.text("lavenderwick/audit/db") != null);
+            assertThat(store.text("lavenderwick/audit/db"))
+                    .contains("d1\tdb-1\t" + database.promotions().get(0));
         }
 
         @Test
