Ask endpoints only from daemons that serve; log each failed request and explain it

Cause: since daemons without connections no longer renew the lease of the record of terms, their evidence grew old and they turned to the endpoints: 67 daemons opened a connection to each of 18 endpoints, over the cap. SessionRelayTest shows it with two daemons and failed first.

--- a/lavenderwick-cli/src/main/java/org/lavenderwick/cli/Main.java
+++ b/lavenderwick-cli/src/main/java/org/lavenderwick/cli/Main.java
@@ -30,6 +30,7 @@
                 new AuditCommand(),
                 new FleetStatusCommand(),
                 new FleetAuditCommand(),
+                new ExplainCommand(System.in),
                 new StandinsCommand(),
                 new DemoCommand(),
                 new BenchCommand());
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerReplies.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerReplies.java
@@ -1,5 +1,6 @@
 package org.lavenderwick.daemon.session;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 
@@ -8,27 +9,39 @@
 import org.lavenderwick.core.error.Failure;
 import org.lavenderwick.core.model.LogPoint;
 
-/** Writes answers to a caller. */
+/** Writes answers to a caller, and the failures among them to the log. */
 final class CallerReplies {
 
     private final CallerCodec codec;
+    private final EventLoop loop;
+    private final RequestLog log;
     private LineConnection line;
+    private RequestLog.Request request = new RequestLog.Request("-", "-", Duration.ZERO);
 
-    CallerReplies(CallerCodec codec) {
+    CallerReplies(CallerCodec codec, EventLoop loop, RequestLog log) {
         this.codec = codec;
+        this.loop = loop;
+        this.log = log;
     }
 
     void attach(LineConnection connection) {
         line = connection;
     }
 
+    /** Notes the request that is answered next. */
+    void asked(String id, String database) {
+        request = new RequestLog.Request(id, database, loop.now());
+    }
+
     void success(List<String> rows, String digest, SessionState state, Optional<LogPoint> position) {
         rows.forEach(row -> line.send(codec.row(row)));
         line.send(codec.complete(digest));
         ready(state, position);
     }
 
-    void failure(Failure failure, SessionState state) {
+    /** Reports a failure, with the work that the request led to, if any. */
+    void failure(Optional<Work> work, Failure failure, SessionState state) {
+        log.failed(request, work, failure, loop.now());
         line.send(codec.error(failure));
         ready(state, Optional.empty());
     }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerSession.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerSession.java
@@ -22,19 +22,6 @@
 /** The session of one caller: its values, its transaction and the statement that it waits for. */
 final class CallerSession implements LineConnection.Listener {
 
-    private enum Transaction {
-        /** None is open. */
-        NONE,
-        /** Opened by the caller, not yet at an endpoint. */
-        ANNOUNCED,
-        /** Open at an endpoint. */
-        OPEN,
-        /** Rolled back without the caller knowing yet. */
-        LOST,
-        /** Failed, as the caller knows. */
-        FAILED
-    }
-
     private final SessionProxy proxy;
     private final CallerCodec codec;
     private final CallerReplies replies;
@@ -43,7 +30,7 @@
     private final SessionContext context = SessionContext.create();
     private LineConnection line;
     private String database;
-    private Transaction transaction = Transaction.NONE;
+    private CallerTransaction transaction = CallerTransaction.NONE;
     private boolean readOnly;
     private DatabaseRoute transactionRoute;
     private EndpointConnection bound;
@@ -55,7 +42,7 @@
     CallerSession(SessionProxy proxy, CallerCodec codec, EventLoop loop, Runnable onEnd) {
         this.proxy = proxy;
         this.codec = codec;
-        this.replies = new CallerReplies(codec);
+        this.replies = new CallerReplies(codec, loop, proxy.requestLog());
         this.loop = loop;
         this.onEnd = onEnd;
         this.lastActive = loop.now();
@@ -89,6 +76,7 @@
         } else if (database == null) {
             refuseAndClose(Failure.of(ErrorKind.MALFORMED_REQUEST, "the session is not open"));
         } else if (message.get() instanceof CallerMessage.BadQuery bad) {
+            replies.asked("-", database);
             answer(Failure.of(ErrorKind.MALFORMED_REQUEST, bad.reason()));
         } else if (message.get() instanceof CallerMessage.Query query) {
             query(query.id(), query.statement());
@@ -110,8 +98,9 @@
     }
 
     private void query(String id, Statement statement) {
-        if (transaction == Transaction.LOST && statement.kind() != StatementKind.ROLLBACK) {
-            transaction = statement.kind() == StatementKind.COMMIT ? Transaction.NONE : Transaction.FAILED;
+        replies.asked(id, database);
+        if (transaction == CallerTransaction.LOST && statement.kind() != StatementKind.ROLLBACK) {
+            transaction = statement.kind() == StatementKind.COMMIT ? CallerTransaction.NONE : CallerTransaction.FAILED;
             answer(Failure.of(ErrorKind.TRANSACTION_ABORTED, "the transaction was rolled back"));
             return;
         }
@@ -134,7 +123,7 @@
     }
 
     private void local(Statement statement, boolean accepted) {
-        if (transaction == Transaction.FAILED) {
+        if (transaction == CallerTransaction.FAILED) {
             outOfState();
         } else if (!accepted) {
             answer(Failure.of(ErrorKind.REQUEST_TOO_LARGE, "the session holds too many values or names"));
@@ -144,7 +133,7 @@
     }
 
     private void begin(boolean onlyReads) {
-        if (transaction != Transaction.NONE) {
+        if (transaction != CallerTransaction.NONE) {
             outOfState();
             return;
         }
@@ -153,27 +142,27 @@
             answer(route.getLeft());
             return;
         }
-        transaction = Transaction.ANNOUNCED;
+        transaction = CallerTransaction.ANNOUNCED;
         readOnly = onlyReads;
         transactionRoute = route.get();
         replies.success(List.of(), "", state(), Optional.empty());
     }
 
     private void rollBack() {
-        if (transaction == Transaction.NONE) {
+        if (transaction == CallerTransaction.NONE) {
             outOfState();
             return;
         }
         releaseTransaction();
-        transaction = Transaction.NONE;
+        transaction = CallerTransaction.NONE;
         replies.success(List.of(), "", state(), Optional.empty());
     }
 
     private void commit(String id, Statement statement) {
-        if (transaction == Transaction.NONE) {
+        if (transaction == CallerTransaction.NONE) {
             outOfState();
-        } else if (transaction == Transaction.FAILED) {
-            transaction = Transaction.NONE;
+        } else if (transaction == CallerTransaction.FAILED) {
+            transaction = CallerTransaction.NONE;
             answer(Failure.of(ErrorKind.TRANSACTION_ABORTED, "the transaction had failed and is rolled back"));
         } else {
             submit(transactional(id, statement, Optional.empty()));
@@ -181,7 +170,7 @@
     }
 
     private void run(String id, Statement statement) {
-        if (transaction == Transaction.FAILED) {
+        if (transaction == CallerTransaction.FAILED) {
             outOfState();
             return;
         }
@@ -193,7 +182,7 @@
                 return;
             }
         }
-        if (transaction != Transaction.NONE) {
+        if (transaction != CallerTransaction.NONE) {
             submit(transactional(id, statement, prepared));
             return;
         }
@@ -246,7 +235,7 @@
         if (work.isTransactional()) {
             bound = connection;
             connection.reserveFor(this);
-            transaction = Transaction.OPEN;
+            transaction = CallerTransaction.OPEN;
         }
     }
 
@@ -254,14 +243,14 @@
     void requeued(Work work) {
         if (work.isTransactional()) {
             bound = null;
-            transaction = Transaction.ANNOUNCED;
+            transaction = CallerTransaction.ANNOUNCED;
         }
     }
 
     /** The statement succeeded. */
     void succeeded(Work work, Answer answer) {
         if (work.isCommit()) {
-            transaction = Transaction.NONE;
+            transaction = CallerTransaction.NONE;
             bound = null;
         }
         if (work.commitsWrites()) {
@@ -279,18 +268,18 @@
     void failed(Work work, Failure failure) {
         if (work.isTransactional()) {
             releaseTransaction();
-            transaction = work.isCommit() ? Transaction.NONE : Transaction.FAILED;
+            transaction = work.isCommit() ? CallerTransaction.NONE : CallerTransaction.FAILED;
         }
         if (isCurrent(work)) {
-            answer(failure);
+            replies.failure(Optional.of(work), failure, state());
             next();
         }
     }
 
     private void failStatement(Failure failure) {
-        if (transaction != Transaction.NONE) {
+        if (transaction != CallerTransaction.NONE) {
             releaseTransaction();
-            transaction = Transaction.FAILED;
+            transaction = CallerTransaction.FAILED;
         }
         answer(failure);
     }
@@ -298,23 +287,23 @@
     /** The endpoint connection of the idle transaction has ended. */
     void transactionLost() {
         bound = null;
-        if (transaction == Transaction.OPEN) {
-            transaction = Transaction.LOST;
+        if (transaction == CallerTransaction.OPEN) {
+            transaction = CallerTransaction.LOST;
         }
     }
 
     /** Rolls the transaction back if the caller has left it idle for too long. */
     void checkIdle(Duration limit) {
         boolean idle = current == null && lastActive.plus(limit).compareTo(loop.now()) <= 0;
-        if (idle && (transaction == Transaction.OPEN || transaction == Transaction.ANNOUNCED)) {
+        if (idle && (transaction == CallerTransaction.OPEN || transaction == CallerTransaction.ANNOUNCED)) {
             releaseTransaction();
-            transaction = Transaction.LOST;
+            transaction = CallerTransaction.LOST;
         }
     }
 
     /** Closes the session if nothing is open in it, and returns whether it did. */
     boolean closeIfIdle() {
-        if (current != null || transaction != Transaction.NONE) {
+        if (current != null || transaction != CallerTransaction.NONE) {
             return false;
         }
         end();
@@ -324,9 +313,9 @@
 
     /** Rolls an open transaction back, as the daemon stops. */
     void abortTransaction() {
-        if (current == null && (transaction == Transaction.OPEN || transaction == Transaction.ANNOUNCED)) {
+        if (current == null && (transaction == CallerTransaction.OPEN || transaction == CallerTransaction.ANNOUNCED)) {
             releaseTransaction();
-            transaction = Transaction.LOST;
+            transaction = CallerTransaction.LOST;
         }
     }
 
@@ -353,7 +342,7 @@
     }
 
     private void answer(Failure failure) {
-        replies.failure(failure, state());
+        replies.failure(Optional.empty(), failure, state());
     }
 
     private SessionState state() {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GroupDispatcher.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GroupDispatcher.java
@@ -238,7 +238,9 @@
         }
         refuseHopeless(now);
         closeOverdue(now);
-        questions.ask(now);
+        if (owns() || hasWork()) {
+            questions.ask(now);
+        }
         dispatch();
         return hasWork() || terms.settle(now);
     }
--- /dev/null
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/RequestLog.java
@@ -0,0 +1,92 @@
+package org.lavenderwick.daemon.session;
+
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+
+import org.jboss.logging.Logger;
+import org.lavenderwick.core.error.ErrorKind;
+import org.lavenderwick.core.error.Failure;
+import org.lavenderwick.core.model.GroupName;
+
+/**
+ * A line for each request that failed, with what the daemon believed at that moment. The lines of each kind of failure
+ * are limited, so that a flood of one kind costs little and hides no other. Confined to the traffic thread.
+ */
+final class RequestLog {
+
+    /** Lines of one kind that may come at once; a burst beyond it is alike. */
+    static final int BURST = 10;
+
+    /** Time after which one more line of a kind may come; a fraction of a millisecond of work each. */
+    static final Duration REFILL = Duration.ofMillis(500);
+
+    private static final Logger LOG = Logger.getLogger(RequestLog.class);
+
+    /** A request as its caller sent it. */
+    record Request(String id, String database, Duration askedAt) {}
+
+    /** The lines of one kind of failure. */
+    private static final class Budget {
+
+        private int left = BURST;
+        private Duration refilledAt = Duration.ZERO;
+        private long omitted;
+
+        boolean take(Duration now) {
+            long refills = now.minus(refilledAt).dividedBy(REFILL);
+            if (refills > 0) {
+                left = (int) Math.min(BURST, left + refills);
+                refilledAt = now;
+            }
+            if (left == 0) {
+                omitted++;
+                return false;
+            }
+            left--;
+            return true;
+        }
+
+        String omission() {
+            String text = omitted == 0 ? "" : ", " + omitted + " alike not shown";
+            omitted = 0;
+            return text;
+        }
+    }
+
+    private final Function<GroupName, String> beliefs;
+    private final Map<ErrorKind, Budget> budgets = new EnumMap<>(ErrorKind.class);
+
+    /**
+     * Creates a log.
+     *
+     * @param beliefs tells what the daemon believes of a group
+     */
+    RequestLog(Function<GroupName, String> beliefs) {
+        this.beliefs = beliefs;
+    }
+
+    /** Writes why a request failed. */
+    void failed(Request request, Optional<Work> work, Failure failure, Duration now) {
+        Budget budget = budgets.computeIfAbsent(failure.kind(), kind -> new Budget());
+        if (!budget.take(now)) {
+            return;
+        }
+        LOG.infof(
+                "[request] %s of %s: %s after %d ms, as %s%s%s.",
+                request.id(),
+                request.database(),
+                failure.kind(),
+                now.minus(request.askedAt()).toMillis(),
+                failure.detail(),
+                work.map(this::circumstances).orElse(""),
+                budget.omission());
+    }
+
+    private String circumstances(Work work) {
+        return "; sent " + work.sendings() + " times; group " + work.route().group() + ", "
+                + beliefs.apply(work.route().group());
+    }
+}
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
@@ -45,6 +45,7 @@
     private final RandomGenerator random;
     private final ClockGuard clockGuard;
     private final FleetFeed feed;
+    private final RequestLog requestLog = new RequestLog(this::beliefs);
     private final Map<GroupName, GroupDispatcher> dispatchers = new HashMap<>();
     private final Set<CallerConnection> sessions = new HashSet<>();
     private FleetView view = FleetView.EMPTY;
@@ -110,6 +111,18 @@
         return route.isLeft() ? Optional.of(route.getLeft()) : Optional.empty();
     }
 
+    RequestLog requestLog() {
+        return requestLog;
+    }
+
+    /** Tells what this daemon believes of a group. */
+    private String beliefs(GroupName group) {
+        String configuration = view.catalog()
+                .map(catalog -> "configuration " + catalog.version())
+                .orElse("no configuration");
+        return configuration + ", " + dispatcher(group).terms().describe(loop.now());
+    }
+
     /** Returns the route of a database in the configuration in force. */
     Either<Failure, DatabaseRoute> route(String database) {
         if (view.catalog().isEmpty()) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/TermWatch.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/TermWatch.java
@@ -69,6 +69,13 @@
         return latest().filter(view -> view.provenAt().plus(evidenceAge).compareTo(now) > 0);
     }
 
+    /** Tells the primary, its term and the age of the proof. */
+    String describe(Duration now) {
+        return latest().map(view -> "primary " + view.primary() + " in term " + view.term() + " proven "
+                        + now.minus(view.provenAt()).toMillis() + " ms ago")
+                .orElse("no primary proven");
+    }
+
     /** Returns the age of the latest proof; empty if there is none. */
     Optional<Duration> age(Duration now) {
         return latest().map(view -> now.minus(view.provenAt()));
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionRelayTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionRelayTest.java
@@ -3,12 +3,18 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.lavenderwick.core.dispatch.GroupOwners;
+import org.lavenderwick.core.model.DaemonName;
+import org.lavenderwick.core.model.FailureDomain;
+import org.lavenderwick.core.model.GroupName;
 import org.lavenderwick.platform.standin.OperatorStandin;
 import org.lavenderwick.platform.standin.SessionClient;
 
@@ -40,6 +46,29 @@
         fleet.close();
     }
 
+    @Test
+    void daemonThatOnlyRelaysHoldsNoConnectionsToEndpoints() throws Exception {
+        DaemonName owner = GroupOwners.choose(
+                        GroupName.of(SessionFleet.GROUP),
+                        Map.of(
+                                DaemonName.of("d1"), FailureDomain.of("z1"),
+                                DaemonName.of("d2"), FailureDomain.of("z2")),
+                        1)
+                .get(0);
+        int before = openConnections();
+        fleet.kill(members.get(owner.equals(DaemonName.of("d1")) ? 1 : 0));
+        Thread.sleep(500);
+        assertThat(openConnections()).isEqualTo(before);
+    }
+
+    private int openConnections() {
+        return IntStream.rangeClosed(1, SessionFleet.ENDPOINTS)
+                .map(index -> fleet.database()
+                        .endpoint(SessionFleet.GROUP + "-" + index)
+                        .openConnections())
+                .sum();
+    }
+
     @Test
     void sessionsAreServedThroughEitherDaemon() throws IOException {
         for (SessionFleet.Member member : members) {
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SoakFaults.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SoakFaults.java
@@ -13,6 +13,10 @@
     /** Pause after a fault, in which parts of the fleet recover and others do not. */
     private static final int LONGEST_PAUSE_MILLIS = 700;
 
+    private static final int SPOILT_ANSWERS = 30;
+
+    private static final int SPOIL_PAUSE_MILLIS = 20;
+
     private static final List<String> ANSWERS = List.of("BUSY", "FAILED", "LAGGING", "lose", "cut");
 
     private interface Step {
@@ -33,7 +37,7 @@
                 fleet.database().endpoint(SessionFleet.GROUP + "-" + (1 + random.nextInt(SessionFleet.ENDPOINTS)));
         int kind = random.nextInt(10);
         switch (kind) {
-            case 0 -> play(() -> endpoint.nextAnswer(ANSWERS.get(random.nextInt(ANSWERS.size()))));
+            case 0 -> spoilAnswers(endpoint);
             case 1 -> play(endpoint::reset);
             case 2 -> play(() -> endpoint.silent(true), () -> endpoint.silent(false));
             case 3 -> play(() -> endpoint.deaf(true), () -> endpoint.deaf(false));
@@ -53,6 +57,14 @@
         return kind + "/" + endpoint.id();
     }
 
+    /** Spoils answers of an endpoint, one after the other. */
+    private void spoilAnswers(EndpointStandin endpoint) throws InterruptedException {
+        for (int count = 0; count < SPOILT_ANSWERS; count++) {
+            endpoint.nextAnswer(ANSWERS.get(random.nextInt(ANSWERS.size())));
+            Thread.sleep(SPOIL_PAUSE_MILLIS);
+        }
+    }
+
     private void play(Step begin) throws Exception {
         begin.run();
     }
--- /dev/null
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/RequestLogTest.java
@@ -0,0 +1,68 @@
+package org.lavenderwick.daemon.session;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.read.ListAppender;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.lavenderwick.core.error.ErrorKind;
+import org.lavenderwick.core.error.Failure;
+import org.slf4j.LoggerFactory;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RequestLogTest {
+
+    private static final Duration START = Duration.ofSeconds(100);
+
+    private final Logger logger = (Logger) LoggerFactory.getLogger(RequestLog.class);
+    private final ListAppender<ILoggingEvent> written = new ListAppender<>();
+    private final RequestLog log = new RequestLog(group -> "believes nothing");
+
+    @BeforeEach
+    void listen() {
+        logger.setLevel(Level.INFO);
+        written.start();
+        logger.addAppender(written);
+    }
+
+    @AfterEach
+    void stop() {
+        logger.detachAppender(written);
+        logger.setLevel(null);
+    }
+
+    private void fail(String id, ErrorKind kind, Duration at) {
+        log.failed(
+                new RequestLog.Request(id, "orders", START), Optional.empty(), Failure.of(kind, "it could not be"), at);
+    }
+
+    private String line(int index) {
+        return written.list.get(index).getFormattedMessage();
+    }
+
+    @Test
+    void tellsIdDatabaseKindAndCause() {
+        fail("q1", ErrorKind.NO_ELIGIBLE_ENDPOINT, START.plusMillis(12));
+        assertThat(line(0)).isEqualTo("[request] q1 of orders: NO_ELIGIBLE_ENDPOINT after 12 ms, as it could not be.");
+    }
+
+    @Test
+    void limitsTheLinesOfOneKindAndCountsTheOthers() {
+        for (int index = 0; index < RequestLog.BURST + 5; index++) {
+            fail("q" + index, ErrorKind.NO_ELIGIBLE_ENDPOINT, START);
+        }
+        assertThat(written.list).hasSize(RequestLog.BURST);
+
+        fail("other", ErrorKind.OUTCOME_UNKNOWN, START);
+        assertThat(line(RequestLog.BURST)).contains("other of orders: OUTCOME_UNKNOWN");
+
+        fail("later", ErrorKind.NO_ELIGIBLE_ENDPOINT, START.plus(RequestLog.REFILL));
+        assertThat(line(RequestLog.BURST + 1)).contains("later of orders").endsWith(", 5 alike not shown.");
+    }
+}
