Keep daemons whose entries vanish for a while; pause after refused calls of the store

Entries and renewals pause after a refused call. One daemon after the other, not all at once, replaces a lapsed lease of the record of terms. Owners are worked out when the configuration, the endpoints or the daemons change.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/Directory.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/Directory.java
@@ -95,9 +95,9 @@
         catalog = Optional.of(newCatalog);
     }
 
-    /** Forgets the endpoints whose entries have been missing for too long. */
-    void expire(Duration now) {
-        removedAt.entrySet().removeIf(removal -> {
+    /** Forgets the endpoints whose entries have been missing for too long; returns whether there were any. */
+    boolean expire(Duration now) {
+        return removedAt.entrySet().removeIf(removal -> {
             boolean gone = removal.getValue().plus(REMOVAL_GRACE).compareTo(now) <= 0;
             if (gone) {
                 endpoints.remove(removal.getKey());
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
@@ -48,10 +48,16 @@
     /** Life of the entry that counts this daemon among those that share connections. */
     private static final Duration HOST_LEASE = Duration.ofSeconds(6);
 
+    /** Head start of each daemon over the next one where one suffices: the time for the others to hear of it. */
+    private static final Duration TURN = Duration.ofMillis(60);
+
+    /** Daemons beyond this place wait no longer than it. */
+    private static final int MAX_TURNS = 10;
+
     private static final Logger LOG = Logger.getLogger(FleetControl.class);
 
     private final DaemonName daemon;
-    private final String hostValue;
+    private final Peer self;
     private final FleetStore store;
     private final EndpointCodec codec;
     private final MonotonicClock clock;
@@ -61,10 +67,12 @@
     private final Suspicions suspicions;
     private final Failovers failovers;
     private final LeasedEntry hostEntry;
+    private final Hosts hosts = new Hosts();
     private final Traffic traffic;
     private final Map<GroupName, Duration> missingSince = new HashMap<>();
     private FleetView published = FleetView.EMPTY;
     private boolean serving;
+    private boolean left;
     private Duration renewedAt = Duration.ofSeconds(-1);
     private boolean loaded;
     private Thread followerThread;
@@ -91,15 +99,15 @@
             Duration changeBound,
             Traffic traffic) {
         this.daemon = daemon;
-        this.hostValue = Hosts.encode(self);
+        this.self = self;
         this.store = store;
         this.codec = codec;
         this.clock = clocks.steady();
         this.follower = new StoreFollower(store, clock, traffic, seeds, changeBound, random);
         this.terms = new TermKeeper(store, clock);
-        this.suspicions = new Suspicions(daemon, store);
+        this.suspicions = new Suspicions(daemon, store, random);
         this.failovers = new Failovers(daemon, store, codec, promotions, clocks);
-        this.hostEntry = new LeasedEntry(store, Hosts.key(daemon), HOST_LEASE);
+        this.hostEntry = new LeasedEntry(store, Hosts.key(daemon), HOST_LEASE, random);
         this.traffic = traffic;
     }
 
@@ -142,24 +150,35 @@
         if (reading != null) {
             take(reading, now);
         }
-        directory.expire(now);
-        if ((serving || traffic.isBusy()) && now.minus(renewedAt).compareTo(RENEWAL_INTERVAL) >= 0) {
+        boolean changed = reading != null;
+        changed |= directory.expire(now);
+        changed |= hosts.expire(now);
+        boolean due = now.minus(renewedAt).compareTo(RENEWAL_INTERVAL) >= 0 || terms.hasLapsed();
+        if (due && (serving || traffic.isBusy())) {
             renewedAt = now;
-            terms.renew();
+            terms.renew(turn());
         }
-        publish();
+        publish(changed);
         if (!loaded) {
             return;
         }
         if (leaving) {
-            hostEntry.remove();
-            suspicions.withdraw();
+            giveUp();
             return;
         }
-        hostEntry.keep(hostValue, revisionOf(Hosts.key(daemon)), clock.now());
+        hostEntry.keep(Hosts.encode(self), revisionOf(Hosts.key(daemon)), clock.now());
         maintainGroups();
     }
 
+    /** Tells the others to send no more work here, and gives the votes up. */
+    private void giveUp() {
+        if (!left) {
+            left = true;
+            hostEntry.replace(Hosts.encodeLeaving(self), revisionOf(Hosts.key(daemon)));
+            suspicions.withdraw();
+        }
+    }
+
     private long revisionOf(String key) {
         return directory.entry(key).map(StoreEntry::revision).orElse(StoreWrite.ABSENT);
     }
@@ -171,6 +190,7 @@
         } else {
             reading.changes().changes().forEach(change -> directory.apply(change, now));
         }
+        hosts.take(directory.entriesUnder(Hosts.PREFIX), now);
         for (StoreChange change : reading.changes().changes()) {
             if (change instanceof StoreChange.EntryChanged changed
                     && changed.entry().key().equals(TermRecord.KEY)) {
@@ -180,21 +200,20 @@
         }
     }
 
-    private void publish() {
-        FleetView view = new FleetView(
-                directory.catalog(),
-                directory.endpoints(),
-                terms.evidence().views(),
-                Hosts.decode(directory.entriesUnder(Hosts.PREFIX)));
-        if (!view.equals(published)) {
-            published = view;
+    private void publish(boolean changed) {
+        FleetView view = published;
+        if (changed) {
+            view = FleetView.of(directory.catalog(), directory.endpoints(), hosts.alive());
             // Evidence of a primary is of use only to a daemon that holds connections to endpoints.
             serving = view.servesAny(daemon);
             follower.peers(Watchers.of(daemon, view.peers()).stream()
                     .map(Peer::address)
                     .toList());
-            traffic.apply(view);
-            configured = view.catalog().isPresent();
+        }
+        if (changed || !terms.evidence().views().equals(published.primaries())) {
+            published = view.withPrimaries(terms.evidence().views());
+            traffic.apply(published);
+            configured = published.catalog().isPresent();
         }
     }
 
@@ -236,7 +255,14 @@
 
     /** Returns the place of this daemon among the live ones, so that not all of them act at once. */
     private int rank() {
-        return directory.entriesUnder(Hosts.PREFIX).headMap(Hosts.key(daemon)).size();
+        return (int) published.peers().keySet().stream()
+                .filter(name -> name.compareTo(daemon) < 0)
+                .count();
+    }
+
+    /** Returns for how long this daemon leaves to those before it what any one of them can do for all. */
+    private Duration turn() {
+        return TURN.multipliedBy(Math.min(rank(), MAX_TURNS));
     }
 
     /** Records the primary of a group for the first time, the first daemon at once and the others later. */
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/Suspicions.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/Suspicions.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.random.RandomGenerator;
 
 import org.jboss.logging.Logger;
 import org.lavenderwick.core.model.DaemonName;
@@ -27,9 +28,11 @@
 
     private final DaemonName daemon;
     private final FleetStore store;
+    private final RandomGenerator random;
     private final Map<GroupName, LeasedEntry> votes = new HashMap<>();
 
-    Suspicions(DaemonName daemon, FleetStore store) {
+    Suspicions(DaemonName daemon, FleetStore store, RandomGenerator random) {
+        this.random = random;
         this.daemon = daemon;
         this.store = store;
     }
@@ -45,7 +48,7 @@
             String key = prefix(group) + daemon.value();
             if (vote == null) {
                 LOG.infof("[fleet] The primary %s of %s does not answer.", primary, group);
-                vote = new LeasedEntry(store, key, VOTE_LEASE);
+                vote = new LeasedEntry(store, key, VOTE_LEASE, random);
                 votes.put(group, vote);
             }
             long revision = directory.entry(key).map(StoreEntry::revision).orElse(StoreWrite.ABSENT);
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/TermKeeper.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/TermKeeper.java
@@ -6,6 +6,7 @@
 import org.jboss.logging.Logger;
 import org.lavenderwick.core.error.ErrorKind;
 import org.lavenderwick.core.error.Failure;
+import org.lavenderwick.core.failover.FailoverTimings;
 import org.lavenderwick.core.failover.GroupTerm;
 import org.lavenderwick.core.failover.TermEvidenceLease;
 import org.lavenderwick.core.failover.TermLease;
@@ -15,6 +16,7 @@
 import org.lavenderwick.core.model.GroupName;
 import org.lavenderwick.core.store.FleetStore;
 import org.lavenderwick.core.store.StoreEntry;
+import org.lavenderwick.core.store.StoreWrite;
 import org.lavenderwick.core.time.MonotonicClock;
 
 /** Keeps the evidence from the record of terms, and adds groups that the record lacks. Confined to one thread. */
@@ -22,10 +24,19 @@
 
     private static final Logger LOG = Logger.getLogger(TermKeeper.class);
 
+    /** Bounds of the pause after a renewal without an answer; the longest is the life of evidence. */
+    private static final Duration FIRST_PAUSE = Duration.ofMillis(300);
+
+    private static final Duration LONGEST_PAUSE = FailoverTimings.DEFAULTS.evidenceAge();
+
     private final FleetStore store;
     private final TermRecordStore records;
     private final MonotonicClock clock;
     private final TermEvidenceLease evidence = TermEvidenceLease.create();
+    private Duration notBefore = Duration.ofSeconds(Long.MIN_VALUE);
+    private Duration pause = FIRST_PAUSE;
+    private long lapsed = StoreWrite.NO_LEASE;
+    private Duration lapsedSince;
 
     TermKeeper(FleetStore store, MonotonicClock clock) {
         this.store = store;
@@ -48,22 +59,49 @@
         evidence.install(terms.record(), terms.revision());
     }
 
-    /** Renews the lease of the record, which proves that the record is current. */
-    void renew() {
+    /**
+     * Renews the lease of the record, which proves that the record is current.
+     *
+     * @param turn time for which this daemon leaves it to others to replace a lease that has ended
+     */
+    void renew(Duration turn) {
         long lease = evidence.record().lease();
-        if (evidence.revision() == 0) {
+        Duration now = clock.now();
+        if (evidence.revision() == 0 || now.compareTo(notBefore) < 0) {
+            return;
+        }
+        if (hasLapsed()) {
+            takeTurn(now, turn);
             return;
         }
-        Duration sentAt = clock.now();
         Either<Failure, Long> renewed = store.renewLease(lease);
         if (renewed.isRight()) {
-            evidence.renewed(lease, sentAt);
+            evidence.renewed(lease, now);
+            pause = FIRST_PAUSE;
         } else if (renewed.getLeft().kind() == ErrorKind.LEASE_EXPIRED) {
-            replaceLapsedLease(lease);
+            lapsed = lease;
+            lapsedSince = now;
+            takeTurn(now, turn);
+        } else {
+            notBefore = now.plus(pause);
+            pause = pause.multipliedBy(2).compareTo(LONGEST_PAUSE) < 0 ? pause.multipliedBy(2) : LONGEST_PAUSE;
+        }
+    }
+
+    /** Returns whether the lease of the record has ended, as far as this daemon knows. */
+    boolean hasLapsed() {
+        return evidence.revision() != 0 && evidence.record().lease() == lapsed;
+    }
+
+    private void takeTurn(Duration now, Duration turn) {
+        if (now.minus(lapsedSince).compareTo(turn) >= 0) {
+            // The next try comes as late as that of a daemon that is behind in turn.
+            lapsedSince = now.plus(FIRST_PAUSE);
+            replaceLapsedLease();
         }
     }
 
-    private void replaceLapsedLease(long lapsed) {
+    private void replaceLapsedLease() {
         if (!refresh() || evidence.record().lease() != lapsed) {
             return;
         }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GroupDispatcher.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GroupDispatcher.java
@@ -52,6 +52,7 @@
     private final WorkQueue queue = new WorkQueue();
     private final Admission admission = new Admission();
     private final EndpointQuestions questions;
+    private FleetView layout = FleetView.EMPTY;
     private List<DaemonName> owners = List.of();
     private Duration primaryMissingSince;
 
@@ -78,6 +79,15 @@
 
     /** Takes what the control thread knows. */
     void apply(FleetView view) {
+        if (!view.hasLayoutOf(layout)) {
+            layout = view;
+            applyLayout(view);
+        }
+        terms.record(Optional.ofNullable(view.primaries().get(group)), loop.now());
+        dispatch();
+    }
+
+    private void applyLayout(FleetView view) {
         Map<EndpointName, EndpointEntry> members = new HashMap<>();
         view.endpoints().forEach((name, entry) -> {
             if (entry.group().equals(group)) {
@@ -105,8 +115,6 @@
         if (!owns()) {
             pools.values().forEach(EndpointPool::closeIdle);
         }
-        terms.record(Optional.ofNullable(view.primaries().get(group)), loop.now());
-        dispatch();
     }
 
     /** Returns the daemons that hold connections to the endpoints. */
