Turn to another daemon when the watcher or the store fails

A watcher that the store does not answer ends its feed at once; a follower turns to the next watcher, then to the store, and while that does not answer to one other daemon after the other. SessionFeedTest lets the store refuse one daemon after the other.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
+import com.google.common.collect.Maps;
 import org.jboss.logging.Logger;
 import org.lavenderwick.adapters.session.EndpointCodec;
 import org.lavenderwick.core.catalog.EndpointEntry;
@@ -206,9 +208,10 @@
             view = FleetView.of(directory.catalog(), directory.endpoints(), hosts.alive());
             // Evidence of a primary is of use only to a daemon that holds connections to endpoints.
             serving = view.servesAny(daemon);
-            follower.peers(Watchers.of(daemon, view.peers()).stream()
-                    .map(Peer::address)
-                    .toList());
+            follower.peers(
+                    addresses(Watchers.of(daemon, view.peers())),
+                    addresses(Maps.filterKeys(view.peers(), name -> !name.equals(daemon))
+                            .values()));
         }
         if (changed || !terms.evidence().views().equals(published.primaries())) {
             published = view.withPrimaries(terms.evidence().views());
@@ -217,6 +220,10 @@
         }
     }
 
+    private static List<InetSocketAddress> addresses(Collection<Peer> peers) {
+        return peers.stream().map(Peer::address).toList();
+    }
+
     private void maintainGroups() {
         Set<EndpointName> silent = traffic.suspects();
         List<GroupName> groups = new ArrayList<>();
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/StoreFollower.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/StoreFollower.java
@@ -3,9 +3,13 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 
 import io.vavr.control.Either;
@@ -42,7 +46,7 @@
     /** Time without changes after which the next one is taken as a single one. */
     private static final Duration CALM_TIME = Duration.ofSeconds(2);
 
-    /** Time for which peers are not followed after one of them has failed; longer than a watch. */
+    /** Time for which a peer that failed is not followed, and any other one is; longer than a watch. */
     private static final Duration PEER_PAUSE = Duration.ofSeconds(5);
 
     private static final Duration FIRST_BACKOFF = Duration.ofMillis(50);
@@ -56,6 +60,7 @@
     private final FleetStore store;
     private final MonotonicClock clock;
     private final Traffic traffic;
+    private final RandomGenerator random;
     private final Backoff backoff;
     private final BlockingQueue<Reading> readings = new LinkedBlockingQueue<>();
     private final Duration watchWait;
@@ -65,10 +70,10 @@
     private long revision = -1;
     private int failures;
     private Duration changedAt;
-    private Duration peersAvoidedUntil = Duration.ZERO;
-    private int peerTurn;
+    private final Map<InetSocketAddress, Duration> avoidedUntil = new HashMap<>();
     private volatile boolean hurried;
-    private volatile List<InetSocketAddress> peers = List.of();
+    private volatile List<InetSocketAddress> watchers = List.of();
+    private volatile List<InetSocketAddress> others = List.of();
 
     /**
      * Creates a follower.
@@ -90,6 +95,7 @@
         this.watchWait = changeBound.dividedBy(WATCHES_PER_BOUND);
         this.busyGatherTime = changeBound.dividedBy(GATHERINGS_PER_BOUND);
         this.maxPeerAge = Duration.ofMillis((long) (changeBound.toMillis() * MAX_PEER_AGE_PER_BOUND));
+        this.random = random;
         this.backoff = Backoff.create(FIRST_BACKOFF, LONGEST_BACKOFF, random);
     }
 
@@ -103,25 +109,36 @@
         hurried = value;
     }
 
-    /** Sets the peers to follow, the first one preferred; none to watch the store. May be called from any thread. */
-    void peers(List<InetSocketAddress> addresses) {
-        peers = addresses;
+    /**
+     * Sets which peers this daemon learns from. May be called from any thread.
+     *
+     * @param newWatchers the peers to follow, the first one preferred; none to watch the store
+     * @param newOthers all other daemons, which are asked when the store does not answer
+     */
+    void peers(List<InetSocketAddress> newWatchers, List<InetSocketAddress> newOthers) {
+        watchers = newWatchers;
+        others = newOthers;
     }
 
     @Override
     public void run() {
         while (!Thread.currentThread().isInterrupted()) {
-            List<InetSocketAddress> followed = peers;
-            if (revision < 0 || followed.isEmpty() || clock.now().compareTo(peersAvoidedUntil) < 0) {
-                if (!watchStore()) {
-                    return;
-                }
-            } else {
-                followPeer(followed.get(peerTurn % followed.size()));
+            Optional<InetSocketAddress> peer = revision < 0 ? Optional.empty() : nextPeer();
+            if (peer.isPresent()) {
+                follow(peer.get(), () -> watchers.contains(peer.get()));
+            } else if (!watchStore()) {
+                return;
             }
         }
     }
 
+    /** Returns the watcher to follow; empty if this daemon is to watch the store. */
+    private Optional<InetSocketAddress> nextPeer() {
+        Duration now = clock.now();
+        avoidedUntil.values().removeIf(until -> until.compareTo(now) <= 0);
+        return watchers.stream().filter(peer -> !avoidedUntil.containsKey(peer)).findFirst();
+    }
+
     /** Asks the store once; returns false if the thread was interrupted. */
     private boolean watchStore() {
         boolean complete = revision < 0;
@@ -148,39 +165,33 @@
         }
     }
 
-    /** Follows a peer as long as it is to be followed and its knowledge is young. */
-    private void followPeer(InetSocketAddress peer) {
+    /** Follows a peer as long as the condition holds and its knowledge is young, or newer than what is known here. */
+    private void follow(InetSocketAddress peer, BooleanSupplier condition) {
         try (PeerFeed feed = PeerFeed.open(peer, store::decode)) {
             boolean complete = true;
-            while (peers.contains(peer) && !Thread.currentThread().isInterrupted()) {
+            while (condition.getAsBoolean() && !Thread.currentThread().isInterrupted()) {
                 PeerFeed.Batch batch = feed.next();
-                if (batch.age().compareTo(maxPeerAge) > 0 || batch.changes().revision() < revision) {
+                boolean old = batch.age().compareTo(maxPeerAge) > 0;
+                if (batch.changes().revision() > revision || !old) {
+                    publish(complete, batch.changes(), batch.age());
+                }
+                if (old || batch.changes().revision() < revision) {
                     throw new IOException("its knowledge is too old");
                 }
-                publish(complete, batch.changes(), batch.age());
                 complete = false;
             }
         } catch (IOException e) {
             LOG.debugf("[fleet] The peer at %s is not followed: %s.", peer, e.getMessage());
-            peersAvoidedUntil = clock.now().plus(PEER_PAUSE);
-            peerTurn++;
+            avoidedUntil.put(peer, clock.now().plus(PEER_PAUSE));
         }
     }
 
-    /** Takes over what a daemon knows, however old, as long as nothing better is known. */
-    private void askSeed() {
-        if (revision >= 0 || seeds.isEmpty()) {
-            return;
-        }
-        InetSocketAddress seed = seeds.get(failures % seeds.size());
-        try (PeerFeed feed = PeerFeed.open(seed, store::decode)) {
-            PeerFeed.Batch batch = feed.next();
-            LOG.infof(
-                    "[fleet] The daemon at %s knew the store %d ms ago.",
-                    seed, batch.age().toMillis());
-            publish(true, batch.changes(), batch.age());
-        } catch (IOException e) {
-            LOG.debugf("[fleet] The daemon at %s tells nothing: %s.", seed, e.getMessage());
+    /** Learns from any other daemon for a while, as the store does not answer here. */
+    private void askOthers() {
+        List<InetSocketAddress> known = revision < 0 ? seeds : others;
+        if (!known.isEmpty()) {
+            Duration end = clock.now().plus(PEER_PAUSE);
+            follow(known.get(random.nextInt(known.size())), () -> clock.now().compareTo(end) < 0);
         }
     }
 
@@ -209,10 +220,11 @@
 
     private boolean pauseAfter(Failure failure) {
         if (failures == 0) {
+            traffic.endFeed();
             LOG.warnf("[fleet] The store does not answer: %s.", failure.detail());
         }
         failures++;
-        askSeed();
+        askOthers();
         try {
             Thread.sleep(backoff.nextDelay().toMillis());
             return true;
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/FleetFeed.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/FleetFeed.java
@@ -37,7 +37,7 @@
         if (complete) {
             // Followers cannot tell what has been removed meanwhile, so they start anew.
             known.clear();
-            List.copyOf(followers).forEach(this::end);
+            endAll();
         }
         for (int index = 0; index < changes.changes().size(); index++) {
             remember(changes.changes().get(index), changes.encoded().get(index));
@@ -72,6 +72,11 @@
         followers.remove(follower);
     }
 
+    /** Ends the feed of all followers. */
+    void endAll() {
+        List.copyOf(followers).forEach(this::end);
+    }
+
     private void end(LineConnection follower) {
         followers.remove(follower);
         follower.closeAfterSending();
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
@@ -176,6 +176,11 @@
         draining = new Draining(loop.now().plus(closeFrom), loop.now().plus(abortFrom));
     }
 
+    @Override
+    public void endFeed() {
+        loop.execute(feed::endAll);
+    }
+
     @Override
     public Set<EndpointName> suspects() {
         return suspects;
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/Traffic.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/Traffic.java
@@ -20,6 +20,9 @@
      */
     void passOn(boolean complete, StoreChanges changes, Duration currentSince);
 
+    /** Sends the daemons that follow this one elsewhere, as the store does not answer here. */
+    void endFeed();
+
     /** Returns the endpoints that do not answer this daemon. */
     Set<EndpointName> suspects();
 
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionFeedTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionFeedTest.java
@@ -1,6 +1,7 @@
 package org.lavenderwick.daemon;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -50,6 +51,19 @@
         }
     }
 
+    /** Guards against a daemon that waits for its watcher, or for the store, while others know the news. */
+    @Test
+    void changesReachDaemonsThatTheStoreRefuses() throws Exception {
+        List<SessionFleet.Member> members = startOneDomain();
+        for (int version = 2; version < DAEMONS; version++) {
+            fleet.refuse(members.get(version - 2));
+            OperatorStandin.configure(fleet.store(), version, "v" + version, "primary", SessionFleet.GROUP, 1000);
+            long begun = System.nanoTime();
+            awaitDatabase("v" + version);
+            assertThat(Duration.ofNanos(System.nanoTime() - begun)).isLessThan(SessionFleet.CHANGE_BOUND);
+        }
+    }
+
     @Test
     void daemonThatStartsWithoutTheStoreLearnsFromASeed() throws Exception {
         SessionFleet.Member first = fleet.startDaemon();
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionFleet.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionFleet.java
@@ -34,9 +34,16 @@
 
     static final int ENDPOINTS = 3;
 
+    /** Time in which a change of the configuration must be in force. */
+    static final Duration CHANGE_BOUND = Duration.ofSeconds(3);
+
     /** One daemon with the addresses that it listens at. */
     record Member(
-            SessionDaemon daemon, InetSocketAddress address, InetSocketAddress readiness, InetSocketAddress peers) {}
+            SessionDaemon daemon,
+            InetSocketAddress address,
+            InetSocketAddress readiness,
+            InetSocketAddress peers,
+            StoreStandin.Door storeDoor) {}
 
     private final StoreStandin store;
     private final DatabaseStandin database;
@@ -83,6 +90,11 @@
         member.daemon().close();
     }
 
+    /** Lets the store refuse all calls of a daemon. */
+    void refuse(Member member) {
+        member.storeDoor().refuse(true);
+    }
+
     /** Opens a session at the daemon that was started first. */
     SessionClient open() throws IOException {
         return SessionClient.open(first().address(), DATABASE);
@@ -109,6 +121,7 @@
         InetSocketAddress address = FreePorts.next();
         InetSocketAddress readiness = FreePorts.next();
         InetSocketAddress peers = FreePorts.next();
+        StoreStandin.Door door = store.openDoor();
         SessionDaemon daemon = SessionDaemon.start(new SessionSettings(
                 DaemonName.of("d" + number),
                 FailureDomain.of(domain),
@@ -116,11 +129,11 @@
                 readiness,
                 peers,
                 seeds,
-                store.address(),
+                door.address(),
                 database.ordersAddress(),
-                Duration.ofSeconds(3),
+                CHANGE_BOUND,
                 Duration.ofSeconds(6)));
-        Member member = new Member(daemon, address, readiness, peers);
+        Member member = new Member(daemon, address, readiness, peers, door);
         members.add(member);
         return member;
     }
@@ -163,7 +176,10 @@
 
     @Override
     public void close() {
-        members.forEach(member -> member.daemon().close());
+        members.forEach(member -> {
+            member.daemon().close();
+            member.storeDoor().close();
+        });
         database.close();
         store.close();
     }
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SoakFaults.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SoakFaults.java
@@ -4,6 +4,7 @@
 import java.util.Random;
 
 import org.lavenderwick.platform.standin.EndpointStandin;
+import org.lavenderwick.platform.standin.StoreStandin;
 
 /** Faults of endpoints, of the store and of daemons, drawn at random, each over after a while. */
 final class SoakFaults {
@@ -35,7 +36,7 @@
     String playOne() throws Exception {
         EndpointStandin endpoint =
                 fleet.database().endpoint(SessionFleet.GROUP + "-" + (1 + random.nextInt(SessionFleet.ENDPOINTS)));
-        int kind = random.nextInt(10);
+        int kind = random.nextInt(11);
         switch (kind) {
             case 0 -> spoilAnswers(endpoint);
             case 1 -> play(endpoint::reset);
@@ -49,6 +50,7 @@
                         () -> fleet.store().losingAnswers(false));
             case 7 ->
                 play(() -> fleet.store().deafWatches(true), () -> fleet.store().deafWatches(false));
+            case 9 -> refuseOne();
             case 8 -> play(() -> fleet.store().revokeLeases());
             default -> play(() -> fleet.killOne(random), () -> fleet.startDaemon());
         }
@@ -57,6 +59,11 @@
         return kind + "/" + endpoint.id();
     }
 
+    private void refuseOne() throws Exception {
+        StoreStandin.Door door = fleet.any(random).storeDoor();
+        play(() -> door.refuse(true), () -> door.refuse(false));
+    }
+
     /** Spoils answers of an endpoint, one after the other. */
     private void spoilAnswers(EndpointStandin endpoint) throws InterruptedException {
         for (int count = 0; count < SPOILT_ANSWERS; count++) {
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/fleet/StoreFollowerTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/fleet/StoreFollowerTest.java
@@ -66,6 +66,11 @@
             // Nobody follows.
         }
 
+        @Override
+        public void endFeed() {
+            // Nobody follows.
+        }
+
         @Override
         public Set<EndpointName> suspects() {
             return Set.of();
