Send a follower only what it lacks

While the store is away every daemon turns from one to another; each of these connections carried everything that is known, some ten kilobytes, although nobody knew more.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/PeerFeed.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/PeerFeed.java
@@ -16,7 +16,7 @@
 import org.lavenderwick.core.store.StoreChanges;
 import org.lavenderwick.daemon.session.FeedLines;
 
-/** What another daemon knows of the store, over one connection: everything, then each change. Blocks its thread. */
+/** What another daemon knows of the store, over one connection. Blocks its thread. */
 final class PeerFeed implements AutoCloseable {
 
     /** Longest time to open the connection: a few round trips. */
@@ -28,9 +28,10 @@
     /**
      * Changes that came together.
      *
+     * @param complete whether the changes are everything, so that whatever they lack has been removed
      * @param age time since the store was last known to have no later change
      */
-    record Batch(StoreChanges changes, Duration age) {}
+    record Batch(boolean complete, StoreChanges changes, Duration age) {}
 
     private final Socket socket;
     private final BufferedReader in;
@@ -42,13 +43,14 @@
         this.decoder = decoder;
     }
 
-    /** Asks a peer for everything and for each change after it. */
-    static PeerFeed open(InetSocketAddress peer, Function<String, Optional<StoreChange>> decoder) throws IOException {
+    /** Asks a peer for what it knows beyond a revision and for each change after it. */
+    static PeerFeed open(InetSocketAddress peer, long known, Function<String, Optional<StoreChange>> decoder)
+            throws IOException {
         Socket socket = new Socket();
         try {
             socket.connect(peer, (int) CONNECT_TIMEOUT.toMillis());
             socket.setSoTimeout((int) SILENCE_LIMIT.toMillis());
-            socket.getOutputStream().write((FeedLines.FOLLOW + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            socket.getOutputStream().write((FeedLines.follow(known) + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
             BufferedReader in =
                     new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
             return new PeerFeed(socket, in, decoder);
@@ -58,10 +60,11 @@
         }
     }
 
-    /** Returns the next batch; the first one holds everything. */
+    /** Returns the next batch. */
     Batch next() throws IOException {
         List<StoreChange> changes = new ArrayList<>();
         List<String> encoded = new ArrayList<>();
+        boolean complete = false;
         while (true) {
             String line = in.readLine();
             if (line == null) {
@@ -69,13 +72,16 @@
             }
             Optional<String> text = FeedLines.parseChange(line);
             Optional<FeedLines.BatchEnd> end = FeedLines.parseEnd(line);
-            if (text.isPresent()) {
+            if (line.equals(FeedLines.EVERYTHING)) {
+                complete = true;
+            } else if (text.isPresent()) {
                 decoder.apply(text.get()).ifPresent(change -> {
                     changes.add(change);
                     encoded.add(text.get());
                 });
             } else if (end.isPresent()) {
                 return new Batch(
+                        complete,
                         new StoreChanges(changes, encoded, end.get().revision()),
                         end.get().age());
             } else {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/StoreFollower.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/StoreFollower.java
@@ -167,18 +167,16 @@
 
     /** Follows a peer as long as the condition holds and its knowledge is young, or newer than what is known here. */
     private void follow(InetSocketAddress peer, BooleanSupplier condition) {
-        try (PeerFeed feed = PeerFeed.open(peer, store::decode)) {
-            boolean complete = true;
+        try (PeerFeed feed = PeerFeed.open(peer, revision, store::decode)) {
             while (condition.getAsBoolean() && !Thread.currentThread().isInterrupted()) {
                 PeerFeed.Batch batch = feed.next();
                 boolean old = batch.age().compareTo(maxPeerAge) > 0;
                 if (batch.changes().revision() > revision || !old) {
-                    publish(complete, batch.changes(), batch.age());
+                    publish(batch.complete(), batch.changes(), batch.age());
                 }
                 if (old || batch.changes().revision() < revision) {
                     throw new IOException("its knowledge is too old");
                 }
-                complete = false;
             }
         } catch (IOException e) {
             LOG.debugf("[fleet] The peer at %s is not followed: %s.", peer, e.getMessage());
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/FeedLines.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/FeedLines.java
@@ -8,13 +8,16 @@
 import com.google.common.primitives.Longs;
 
 /**
- * The lines by which a daemon passes on what it knows of the store. A follower asks with {@link #FOLLOW}; it receives
- * everything, then each change. Every batch, also an empty one, ends with a line that tells how old the knowledge is.
+ * The lines by which a daemon passes on what it knows of the store. A follower asks with the revision that it knows
+ * itself; it receives everything if more is known here, then each change. Every batch, also an empty one, ends with a
+ * line that tells how old the knowledge is.
  */
 public final class FeedLines {
 
-    /** Asks for everything and for each change after it. */
-    public static final String FOLLOW = "FOLLOW";
+    /** Stands before a batch that holds everything. */
+    public static final String EVERYTHING = "EVERYTHING";
+
+    private static final String FOLLOW = "FOLLOW ";
 
     private static final String CHANGE = "CHANGE ";
 
@@ -32,6 +35,18 @@
 
     private FeedLines() {}
 
+    /** Returns the line that asks for what is known beyond a revision; a negative one for everything. */
+    public static String follow(long revision) {
+        return FOLLOW + revision;
+    }
+
+    /** Returns the revision that a follower knows; empty if the line does not ask for a feed. */
+    static Optional<Long> parseFollow(String line) {
+        return line.startsWith(FOLLOW)
+                ? Optional.ofNullable(Longs.tryParse(line.substring(FOLLOW.length())))
+                : Optional.empty();
+    }
+
     static String change(String encoded) {
         return CHANGE + encoded;
     }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/FleetFeed.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/FleetFeed.java
@@ -57,14 +57,21 @@
         }
     }
 
-    /** Sends everything to a new follower; closes its connection if nothing is known. */
-    void follow(LineConnection follower) {
+    /**
+     * Takes a new follower, and closes its connection if nothing is known.
+     *
+     * @param itsRevision what the follower knows already
+     */
+    void follow(LineConnection follower, long itsRevision) {
         if (revision < 0) {
             follower.closeAfterSending();
             return;
         }
         followers.add(follower);
-        known.values().forEach(encoded -> follower.send(FeedLines.change(encoded)));
+        if (revision > itsRevision) {
+            follower.send(FeedLines.EVERYTHING);
+            known.values().forEach(encoded -> follower.send(FeedLines.change(encoded)));
+        }
         follower.send(FeedLines.end(revision, age()));
     }
 
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/PeerConnection.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/PeerConnection.java
@@ -1,5 +1,7 @@
 package org.lavenderwick.daemon.session;
 
+import java.util.Optional;
+
 /** The connection of another daemon: its first line asks for the feed of the fleet or begins a relayed session. */
 final class PeerConnection implements LineConnection.Listener {
 
@@ -24,8 +26,9 @@
 
     @Override
     public void line(String text) {
-        if (session == null && text.equals(FeedLines.FOLLOW)) {
-            feed.follow(line);
+        Optional<Long> known = session == null ? FeedLines.parseFollow(text) : Optional.empty();
+        if (known.isPresent()) {
+            feed.follow(line, known.get());
         } else {
             session().line(text);
         }
