--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/StoreFollower.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/StoreFollower.java
@@ -49,6 +49,9 @@
     /** Time for which a peer that failed is not followed, and any other one is; longer than a watch. */
     private static final Duration PEER_PAUSE = Duration.ofSeconds(5);
 
+    /** Lead in age that a daemon asked at random must have; more than a feed takes between daemons. */
+    private static final Duration MIN_LEAD = Duration.ofMillis(200);
+
     private static final Duration FIRST_BACKOFF = Duration.ofMillis(50);
     private static final Duration LONGEST_BACKOFF = Duration.ofMillis(800);
 
@@ -68,6 +71,7 @@
     private final Duration maxPeerAge;
     private final List<InetSocketAddress> seeds;
     private long revision = -1;
+    private Duration currentAt = Duration.ofSeconds(Long.MIN_VALUE);
     private int failures;
     private Duration changedAt;
     private final Map<InetSocketAddress, Duration> avoidedUntil = new HashMap<>();
@@ -125,7 +129,7 @@
         while (!Thread.currentThread().isInterrupted()) {
             Optional<InetSocketAddress> peer = revision < 0 ? Optional.empty() : nextPeer();
             if (peer.isPresent()) {
-                follow(peer.get(), () -> watchers.contains(peer.get()));
+                follow(peer.get(), Duration.ZERO, () -> watchers.contains(peer.get()));
             } else if (!watchStore()) {
                 return;
             }
@@ -159,18 +163,28 @@
 
     private void publish(boolean complete, StoreChanges changes, Duration age) {
         revision = changes.revision();
-        traffic.passOn(complete, changes, clock.now().minus(age));
+        Duration since = clock.now().minus(age);
+        currentAt = since.compareTo(currentAt) > 0 ? since : currentAt;
+        traffic.passOn(complete, changes, currentAt);
         if (complete || !changes.changes().isEmpty()) {
             readings.add(new Reading(complete, changes));
         }
     }
 
-    /** Follows a peer as long as the condition holds and its knowledge is young, or newer than what is known here. */
-    private void follow(InetSocketAddress peer, BooleanSupplier condition) {
+    /**
+     * Follows a peer as long as the condition holds and its knowledge is young, or newer than what is known here.
+     *
+     * @param lead by how much the knowledge of the peer must be younger at first than the knowledge here
+     */
+    private void follow(InetSocketAddress peer, Duration lead, BooleanSupplier condition) {
         try (PeerFeed feed = PeerFeed.open(peer, revision, store::decode)) {
+            Duration required = lead;
             while (condition.getAsBoolean() && !Thread.currentThread().isInterrupted()) {
                 PeerFeed.Batch batch = feed.next();
-                boolean old = batch.age().compareTo(maxPeerAge) > 0;
+                Duration peerCurrentAt = clock.now().minus(batch.age());
+                boolean old = batch.age().compareTo(maxPeerAge) > 0
+                        || (!required.isZero() && peerCurrentAt.compareTo(currentAt.plus(required)) < 0);
+                required = Duration.ZERO;
                 if (batch.changes().revision() > revision || !old) {
                     publish(batch.complete(), batch.changes(), batch.age());
                 }
@@ -189,7 +203,11 @@
         List<InetSocketAddress> known = revision < 0 ? seeds : others;
         if (!known.isEmpty()) {
             Duration end = clock.now().plus(PEER_PAUSE);
-            follow(known.get(random.nextInt(known.size())), () -> clock.now().compareTo(end) < 0);
+            // Daemons that the store refuses may learn from each other; only knowledge from outside is younger.
+            follow(
+                    known.get(random.nextInt(known.size())),
+                    MIN_LEAD,
+                    () -> clock.now().compareTo(end) < 0);
         }
     }
 
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionFeedTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionFeedTest.java
@@ -64,6 +64,19 @@
         }
     }
 
+    /** Guards against daemons that learn from each other in a circle, none of them from the store. */
+    @Test
+    void changesReachAllWhenTheStoreAnswersOneDaemonOnly() throws Exception {
+        List<SessionFleet.Member> members = startOneDomain();
+        members.subList(1, DAEMONS).forEach(fleet::refuse);
+        for (int version = 2; version < 2 + DAEMONS; version++) {
+            OperatorStandin.configure(fleet.store(), version, "v" + version, "primary", SessionFleet.GROUP, 1000);
+            long begun = System.nanoTime();
+            awaitDatabase("v" + version);
+            assertThat(Duration.ofNanos(System.nanoTime() - begun)).isLessThan(SessionFleet.CHANGE_BOUND);
+        }
+    }
+
     @Test
     void daemonThatStartsWithoutTheStoreLearnsFromASeed() throws Exception {
         SessionFleet.Member first = fleet.startDaemon();
