Ask several daemons before the store is tried again

SessionFeedTest.changesReachAllWhenTheStoreAnswersOneDaemonOnly failed once, at a load of 17: a change took 3.6 s to reach all, over the bound of 3 s. A daemon that the store refuses asked one other daemon picked at random in each turn, and three of four were refused as well. It now asks up to three. A batch of a peer that knows less is not taken over any more, and a daemon whose history was dropped asks all others and not only the seeds.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/StoreFollower.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/StoreFollower.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -52,6 +53,9 @@
     /** Lead in age that a daemon asked at random must have; more than a feed takes between daemons. */
     private static final Duration MIN_LEAD = Duration.ofMillis(200);
 
+    /** Daemons asked before the store is tried again; with a third of a fleet refused, one of them is not. */
+    private static final int MAX_ASKED = 3;
+
     private static final Duration FIRST_BACKOFF = Duration.ofMillis(50);
     private static final Duration LONGEST_BACKOFF = Duration.ofMillis(800);
 
@@ -162,6 +166,9 @@
     }
 
     private void publish(boolean complete, StoreChanges changes, Duration age) {
+        if (revision < 0 && !age.isZero()) {
+            LOG.infof("[fleet] Another daemon tells what the store held %d ms ago.", age.toMillis());
+        }
         revision = changes.revision();
         Duration since = clock.now().minus(age);
         currentAt = since.compareTo(currentAt) > 0 ? since : currentAt;
@@ -175,39 +182,48 @@
      * Follows a peer as long as the condition holds and its knowledge is young, or newer than what is known here.
      *
      * @param lead by how much the knowledge of the peer must be younger at first than the knowledge here
+     * @return whether the peer was of use
      */
-    private void follow(InetSocketAddress peer, Duration lead, BooleanSupplier condition) {
+    private boolean follow(InetSocketAddress peer, Duration lead, BooleanSupplier condition) {
+        Duration required = lead;
+        boolean useful = false;
         try (PeerFeed feed = PeerFeed.open(peer, revision, store::decode)) {
-            Duration required = lead;
             while (condition.getAsBoolean() && !Thread.currentThread().isInterrupted()) {
                 PeerFeed.Batch batch = feed.next();
-                Duration peerCurrentAt = clock.now().minus(batch.age());
-                boolean old = batch.age().compareTo(maxPeerAge) > 0
-                        || (!required.isZero() && peerCurrentAt.compareTo(currentAt.plus(required)) < 0);
-                required = Duration.ZERO;
-                if (batch.changes().revision() > revision || !old) {
+                boolean old = isOld(batch, required);
+                if (batch.changes().revision() < revision) {
+                    throw new IOException("it knows less");
+                } else if (batch.changes().revision() > revision || !old) {
                     publish(batch.complete(), batch.changes(), batch.age());
                 }
-                if (old || batch.changes().revision() < revision) {
+                if (old) {
                     throw new IOException("its knowledge is too old");
                 }
+                required = Duration.ZERO;
+                useful = true;
             }
         } catch (IOException e) {
             LOG.debugf("[fleet] The peer at %s is not followed: %s.", peer, e.getMessage());
             avoidedUntil.put(peer, clock.now().plus(PEER_PAUSE));
         }
+        return useful;
     }
 
-    /** Learns from any other daemon for a while, as the store does not answer here. */
+    private boolean isOld(PeerFeed.Batch batch, Duration lead) {
+        boolean leads = lead.isZero() || clock.now().minus(batch.age()).compareTo(currentAt.plus(lead)) >= 0;
+        return !leads || batch.age().compareTo(maxPeerAge) > 0;
+    }
+
+    /** Learns from another daemon for a while, as the store does not answer here. */
     private void askOthers() {
-        List<InetSocketAddress> known = revision < 0 ? seeds : others;
-        if (!known.isEmpty()) {
+        List<InetSocketAddress> known = new ArrayList<>(others.isEmpty() ? seeds : others);
+        // Daemons that the store refuses may learn from each other; only knowledge from outside is younger.
+        for (int asked = 0; asked < MAX_ASKED && !known.isEmpty(); asked++) {
+            InetSocketAddress peer = known.remove(random.nextInt(known.size()));
             Duration end = clock.now().plus(PEER_PAUSE);
-            // Daemons that the store refuses may learn from each other; only knowledge from outside is younger.
-            follow(
-                    known.get(random.nextInt(known.size())),
-                    MIN_LEAD,
-                    () -> clock.now().compareTo(end) < 0);
+            if (follow(peer, MIN_LEAD, () -> clock.now().compareTo(end) < 0)) {
+                return;
+            }
         }
     }
 
