--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/LeaseEvidence.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/LeaseEvidence.java
@@ -11,8 +11,7 @@
  * Evidence from renewals of the lease of the term record. The lease is revoked before an open term is replaced, so a
  * successful renewal proves that the record was current when the renewal was sent.
  *
- * <p>A new record with another lease removes the evidence only of the groups whose open term it changes. Confined to
- * one thread.
+ * <p>A new record with another lease removes the evidence only of the groups whose open term it changes. Thread-safe.
  */
 public final class LeaseEvidence {
 
@@ -28,7 +27,7 @@
     }
 
     /** Replaces the record, unless its revision is at most that of the current one. */
-    public void install(TermRecord newRecord, long newRevision) {
+    public synchronized void install(TermRecord newRecord, long newRevision) {
         if (newRevision <= revision) {
             return;
         }
@@ -45,7 +44,7 @@
     }
 
     /** Records the successful renewal of a lease; ignored if it is not the lease of the current record. */
-    public void onRenewed(long lease, Duration sentAt) {
+    public synchronized void onRenewed(long lease, Duration sentAt) {
         if (lease != record.lease()) {
             return;
         }
@@ -58,22 +57,22 @@
     }
 
     /** Returns the current record; {@link TermRecord#EMPTY} if there is none yet. */
-    public TermRecord record() {
+    public synchronized TermRecord record() {
         return record;
     }
 
     /** Returns the revision of the current record; 0 if there is none yet. */
-    public long revision() {
+    public synchronized long revision() {
         return revision;
     }
 
     /** Returns the proven primary of a group, regardless of the age of the evidence; empty if there is none. */
-    public Optional<ProvenPrimary> view(GroupName group) {
+    public synchronized Optional<ProvenPrimary> view(GroupName group) {
         return Optional.ofNullable(views.get(group));
     }
 
     /** Returns the proven primary of each group that has evidence, regardless of its age. */
-    public Map<GroupName, ProvenPrimary> views() {
+    public synchronized Map<GroupName, ProvenPrimary> views() {
         return Map.copyOf(views);
     }
 }
--- /dev/null
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/propagation/ChangeSources.java
@@ -0,0 +1,244 @@
+package org.lavenderwick.core.propagation;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+import com.google.common.collect.ImmutableList;
+import org.lavenderwick.core.time.Backoff;
+
+/**
+ * The sources from which a daemon reads the changes of the store, and the decision which of them to use now.
+ *
+ * <p>A daemon uses two sources side by side, so that one that hangs never delays the other: the feed of another daemon,
+ * and the store itself. A watcher always reads the store, and has the feed of a watcher in another failure domain for
+ * the time in which the store does not respond to it. All other daemons read a feed, and the store only while no feed
+ * delivers content that is recent enough.
+ *
+ * <p>Answers this pattern: the store leaves a third of the daemons without any response, watchers among them, while the
+ * operator changes the configuration several times a second. Not thread-safe.
+ *
+ * @param <S> identifies a daemon that has a feed
+ */
+public final class ChangeSources<S> {
+
+    /**
+     * The maximum change delay is divided by this to get the longest time between two confirmations of the store that
+     * there are no later changes.
+     */
+    private static final int CONFIRMATION_DIVISOR = 3;
+
+    /**
+     * The maximum change delay is divided by this to get the age above which the content of a feed is too old. The rest
+     * of the delay is left for the change to another source.
+     */
+    private static final int MAX_AGE_DIVISOR = 2;
+
+    /** Time without a feed after which a daemon that is no watcher reads the store. Enough to try two other feeds. */
+    static final Duration FEED_GRACE = Duration.ofSeconds(1);
+
+    /** Time without any content after which a starting daemon reads from the daemons named in its settings. */
+    static final Duration SEED_DELAY = Duration.ofMillis(300);
+
+    /** Interval at which a feed sends its age if it has nothing else to send. */
+    public static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(500);
+
+    /** Longest time without anything from a feed: three heartbeats. */
+    private static final Duration MAX_SILENCE = HEARTBEAT_INTERVAL.multipliedBy(3);
+
+    /** Time without anything from a feed that is always allowed: one heartbeat and its delay. */
+    private static final Duration MIN_SILENCE = Duration.ofMillis(700);
+
+    /** First time for which a failed feed is not selected again; doubles with each further failure of that feed. */
+    private static final Duration MIN_EXCLUSION = Duration.ofMillis(500);
+
+    /** Longest time for which a failed feed is not selected again. */
+    private static final Duration MAX_EXCLUSION = Duration.ofSeconds(4);
+
+    private record Exclusion(Duration failedAt, Duration length) {}
+
+    private final Duration confirmationInterval;
+    private final Duration maxAge;
+    private final Backoff storeBackoff;
+    private final List<S> seeds;
+    private final Duration createdAt;
+    private final Map<S, Exclusion> exclusions = new HashMap<>();
+    private List<S> feeds = ImmutableList.of();
+    private boolean watcher = true;
+    private boolean feedOpen;
+    private Duration feedLostAt;
+    private Duration nextStoreReadAt;
+    private boolean storeFailing;
+
+    private ChangeSources(Duration maxChangeDelay, Backoff storeBackoff, List<S> seeds, Duration createdAt) {
+        this.confirmationInterval = maxChangeDelay.dividedBy(CONFIRMATION_DIVISOR);
+        this.maxAge = maxChangeDelay.dividedBy(MAX_AGE_DIVISOR);
+        this.storeBackoff = storeBackoff;
+        this.seeds = ImmutableList.copyOf(seeds);
+        this.createdAt = createdAt;
+        this.feedLostAt = createdAt;
+        this.nextStoreReadAt = createdAt;
+    }
+
+    /**
+     * Returns the sources of a daemon that knows no other daemons yet and therefore watches the store.
+     *
+     * @param maxChangeDelay time within which a change must have arrived
+     * @param storeBackoff delays between calls to the store while it does not respond
+     * @param seeds daemons to read from while nothing is known, whatever the age of their content, and while no feed is
+     *     recent enough
+     */
+    public static <S> ChangeSources<S> create(
+            Duration maxChangeDelay, Backoff storeBackoff, List<S> seeds, Duration now) {
+        return new ChangeSources<>(maxChangeDelay, storeBackoff, seeds, now);
+    }
+
+    /**
+     * Sets the role of this daemon and the feeds that it may read.
+     *
+     * @param newFeeds the feeds in the order of preference
+     */
+    public void update(boolean isWatcher, List<S> newFeeds) {
+        watcher = isWatcher;
+        feeds = ImmutableList.copyOf(newFeeds);
+        exclusions.keySet().removeIf(feed -> !feeds.contains(feed) && !seeds.contains(feed));
+    }
+
+    /**
+     * Returns the feed to read next; empty if there is none at the moment. While the content is recent this is the most
+     * preferred one that has not failed lately. While it is too old, the feeds are tried in turn instead, so that some
+     * that keep failing do not hide one that works.
+     */
+    public Optional<S> selectFeed(ContentVersion content, Duration now) {
+        if (!content.isKnown()) {
+            return now.minus(createdAt).compareTo(SEED_DELAY) < 0 ? Optional.empty() : firstUsable(seeds, now);
+        }
+        return isTooOld(content, now) ? leastRecentlyFailed() : firstUsable(feeds, now);
+    }
+
+    private boolean isTooOld(ContentVersion content, Duration now) {
+        return now.minus(content.currentAt()).compareTo(maxAge) > 0;
+    }
+
+    private Optional<S> firstUsable(List<S> candidates, Duration now) {
+        return candidates.stream()
+                .filter(feed -> !exclusions.containsKey(feed) || isExclusionOver(exclusions.get(feed), now))
+                .findFirst();
+    }
+
+    private static boolean isExclusionOver(Exclusion exclusion, Duration now) {
+        return exclusion.failedAt().plus(exclusion.length()).compareTo(now) <= 0;
+    }
+
+    private Optional<S> leastRecentlyFailed() {
+        // The seeds are for a daemon that lost the store before it learned of any other daemon.
+        return Stream.concat(feeds.stream(), seeds.stream())
+                .min(Comparator.comparing(feed -> Optional.ofNullable(exclusions.get(feed))
+                        .map(Exclusion::failedAt)
+                        .orElse(Duration.ZERO)));
+    }
+
+    /**
+     * Returns whether a feed that is being read should be read further: until a more preferred one may be tried again,
+     * or it may no longer be read at all.
+     */
+    public boolean isPreferred(S feed, ContentVersion content, Duration now) {
+        if (content.isKnown() && isTooOld(content, now)) {
+            return feeds.contains(feed) || seeds.contains(feed);
+        }
+        return firstUsable(content.isKnown() ? feeds : seeds, now)
+                .filter(feed::equals)
+                .isPresent();
+    }
+
+    /** Records that the feed has delivered a batch, and returns whether the content of the feed is recent enough. */
+    public boolean onFeedBatch(S feed, Duration age) {
+        if (age.compareTo(maxAge) > 0) {
+            return false;
+        }
+        feedOpen = true;
+        exclusions.remove(feed);
+        return true;
+    }
+
+    /**
+     * Returns how long to wait for the next batch of a feed before it counts as failed. The older the content already
+     * is, the less time is left to change to another feed.
+     */
+    public Duration feedTimeout(ContentVersion content, Duration now) {
+        if (!content.isKnown()) {
+            return MAX_SILENCE;
+        }
+        Duration untilTooOld = content.currentAt().plus(maxAge).minus(now);
+        return max(MIN_SILENCE, min(MAX_SILENCE, untilTooOld));
+    }
+
+    /** Records that the feed could not be opened, has failed, or has delivered content that is too old. */
+    public void onFeedFailed(S feed, Duration now) {
+        Exclusion last = exclusions.get(feed);
+        Duration length = last == null ? MIN_EXCLUSION : last.length().multipliedBy(2);
+        length = length.compareTo(MAX_EXCLUSION) < 0 ? length : MAX_EXCLUSION;
+        exclusions.put(feed, new Exclusion(now, length));
+        onFeedClosed(now);
+    }
+
+    /** Records that the feed is no longer read. */
+    public void onFeedClosed(Duration now) {
+        if (feedOpen) {
+            feedOpen = false;
+            feedLostAt = now;
+        }
+    }
+
+    /** Returns how long to wait before the next call to the store; zero or negative if it is due now. */
+    public Duration storeDelay(ContentVersion content, Duration now) {
+        Duration retry = nextStoreReadAt.minus(now);
+        if (!content.isKnown() || watcher || feeds.isEmpty()) {
+            return retry;
+        }
+        Duration untilTooOld = content.currentAt().plus(maxAge).minus(now);
+        Duration untilFeedMissed =
+                feedOpen ? untilTooOld : feedLostAt.plus(FEED_GRACE).minus(now);
+        return max(retry, min(untilTooOld, untilFeedMissed));
+    }
+
+    private static Duration min(Duration a, Duration b) {
+        return a.compareTo(b) < 0 ? a : b;
+    }
+
+    private static Duration max(Duration a, Duration b) {
+        return a.compareTo(b) > 0 ? a : b;
+    }
+
+    /**
+     * Returns how long the next call to the store may wait for changes. Zero while the store is failing, because a call
+     * that does not wait shows soonest whether it responds again.
+     */
+    public Duration maxStoreWait(ContentVersion content, Duration now) {
+        if (storeFailing || !content.isKnown()) {
+            return Duration.ZERO;
+        }
+        Duration nextConfirmationAt = content.currentAt().plus(confirmationInterval);
+        return max(Duration.ZERO, nextConfirmationAt.minus(now));
+    }
+
+    /** Records that the store has responded; returns whether the call before had failed. */
+    public boolean onStoreResponse() {
+        boolean recovered = storeFailing;
+        storeFailing = false;
+        storeBackoff.reset();
+        return recovered;
+    }
+
+    /** Records that the store has not responded; returns whether the call before had succeeded. */
+    public boolean onStoreFailure(Duration now) {
+        boolean first = !storeFailing;
+        storeFailing = true;
+        nextStoreReadAt = now.plus(storeBackoff.nextDelay());
+        return first;
+    }
+}
--- /dev/null
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/ChangeInbox.java
@@ -0,0 +1,142 @@
+package org.lavenderwick.daemon.fleet;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+
+import org.jboss.logging.Logger;
+import org.lavenderwick.core.propagation.ChangeSources;
+import org.lavenderwick.core.propagation.ContentVersion;
+import org.lavenderwick.core.store.StoreChanges;
+import org.lavenderwick.core.time.MonotonicClock;
+import org.lavenderwick.daemon.session.TrafficThread;
+
+/**
+ * The inbox of store changes. The reader of the store and the reader of feeds deliver to it side by side; it forwards
+ * what is new to the control thread and to the subscribers of this daemon's own feed. Thread-safe.
+ */
+final class ChangeInbox {
+
+    private static final Logger LOG = Logger.getLogger(ChangeInbox.class);
+
+    /**
+     * Changes that were read from the store or from a feed.
+     *
+     * @param complete whether the changes are the entire content rather than those since the last update
+     */
+    record Update(boolean complete, StoreChanges changes) {}
+
+    private final ChangeSources<InetSocketAddress> sources;
+    private final MonotonicClock clock;
+    private final TrafficThread traffic;
+    private final ContentVersion content = ContentVersion.create();
+    private final BlockingQueue<Update> updates = new LinkedBlockingQueue<>();
+
+    ChangeInbox(ChangeSources<InetSocketAddress> sources, MonotonicClock clock, TrafficThread traffic) {
+        this.sources = sources;
+        this.clock = clock;
+        this.traffic = traffic;
+    }
+
+    /** Returns the queue of updates that the control thread has not processed yet. */
+    BlockingQueue<Update> updates() {
+        return updates;
+    }
+
+    /** Sets the role of this daemon and the feeds that it may read, the preferred one first. */
+    synchronized void setSources(boolean watcher, List<InetSocketAddress> feeds) {
+        sources.update(watcher, feeds);
+        notifyAll();
+    }
+
+    /** Returns the revision of the content that has been delivered, {@link ContentVersion#NONE} before the first. */
+    synchronized long revision() {
+        return content.revision();
+    }
+
+    /** Delivers changes read from the store by a call that was sent at the given time. */
+    synchronized void deliverFromStore(boolean complete, StoreChanges changes, Duration sentAt) {
+        // A watch that ends without changes proves that there were none until its response was sent.
+        deliver(complete, changes, complete ? sentAt : clock.now());
+        if (sources.onStoreResponse()) {
+            LOG.info("[fleet] The store responds again; reading changes from it.");
+        }
+    }
+
+    /** Records that a call to the store has failed. */
+    synchronized void onStoreFailure(String reason) {
+        if (sources.onStoreFailure(clock.now())) {
+            LOG.warnf(
+                    "[fleet] The store does not respond; reading changes from other daemons until it does: %s", reason);
+        }
+    }
+
+    /** Returns how long the next call to the store may wait for changes. */
+    synchronized Duration maxStoreWait() {
+        return sources.maxStoreWait(content, clock.now());
+    }
+
+    /** Waits until the next call to the store is due. */
+    synchronized void awaitStoreRead() throws InterruptedException {
+        long millis = sources.storeDelay(content, clock.now()).toMillis();
+        while (millis > 0) {
+            wait(millis);
+            millis = sources.storeDelay(content, clock.now()).toMillis();
+        }
+    }
+
+    /** Returns the feed to read next; empty if there is none at the moment. */
+    synchronized Optional<InetSocketAddress> selectFeed() {
+        return sources.selectFeed(content, clock.now());
+    }
+
+    /** Returns whether a feed that is being read should be read further. */
+    synchronized boolean isPreferredFeed(InetSocketAddress feed) {
+        return sources.isPreferred(feed, content, clock.now());
+    }
+
+    /** Returns how long to wait for the next batch of a feed before it counts as failed. */
+    synchronized Duration feedTimeout() {
+        return sources.feedTimeout(content, clock.now());
+    }
+
+    /** Delivers a batch of a feed; returns whether the content of the feed is recent enough to read on. */
+    synchronized boolean deliverFromFeed(InetSocketAddress feed, PeerFeed.Batch batch) {
+        boolean first = !content.isKnown();
+        if (first) {
+            LOG.infof(
+                    "[fleet] Read the store content of %d ms ago from another daemon.",
+                    batch.age().toMillis());
+        }
+        deliver(batch.complete(), batch.changes(), clock.now().minus(batch.age()));
+        return sources.onFeedBatch(feed, batch.age());
+    }
+
+    /** Records that a feed could not be opened, has failed, or is too old. */
+    synchronized void onFeedFailed(InetSocketAddress feed) {
+        sources.onFeedFailed(feed, clock.now());
+        notifyAll();
+    }
+
+    /** Records that a feed is no longer read, although it has not failed. */
+    synchronized void onFeedClosed() {
+        sources.onFeedClosed(clock.now());
+        notifyAll();
+    }
+
+    private void deliver(boolean complete, StoreChanges changes, Duration knownAt) {
+        Duration knownBefore = content.currentAt();
+        boolean newer = content.accept(complete, changes.revision(), knownAt);
+        if (newer) {
+            traffic.publishStoreChanges(complete, changes, content.currentAt());
+            if (complete || !changes.changes().isEmpty()) {
+                updates.add(new Update(complete, changes));
+            }
+        } else if (content.currentAt().compareTo(knownBefore) > 0) {
+            traffic.confirmStoreContent(content.currentAt());
+        }
+    }
+}
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
@@ -2,34 +2,28 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.Maps;
 import org.jboss.logging.Logger;
 import org.lavenderwick.adapters.session.EndpointCodec;
-import org.lavenderwick.core.catalog.EndpointEntry;
-import org.lavenderwick.core.catalog.EndpointRole;
-import org.lavenderwick.core.failover.FailoverRun;
-import org.lavenderwick.core.failover.GroupTerm;
+import org.lavenderwick.core.dispatch.GroupOwners;
 import org.lavenderwick.core.failover.PromotionPort;
 import org.lavenderwick.core.failover.ProvenPrimary;
-import org.lavenderwick.core.failover.TermPhase;
 import org.lavenderwick.core.failover.TermRecord;
 import org.lavenderwick.core.model.DaemonName;
-import org.lavenderwick.core.model.EndpointName;
 import org.lavenderwick.core.model.GroupName;
+import org.lavenderwick.core.propagation.ChangeSources;
+import org.lavenderwick.core.propagation.WatcherSelection;
 import org.lavenderwick.core.store.FleetStore;
 import org.lavenderwick.core.store.StoreChange;
-import org.lavenderwick.core.store.StoreEntry;
-import org.lavenderwick.core.store.StoreWrite;
+import org.lavenderwick.core.time.Backoff;
 import org.lavenderwick.core.time.Clocks;
 import org.lavenderwick.core.time.MonotonicClock;
 import org.lavenderwick.daemon.session.FleetSnapshot;
@@ -37,53 +31,47 @@
 import org.lavenderwick.daemon.session.TrafficThread;
 
 /**
- * The task of the control thread. It reads the fleet state from the store, renews the evidence of the primaries,
- * maintains this daemon's store entries, starts failovers, and passes the fleet state to the traffic thread.
+ * The task of the control thread: it applies the changes of the store and passes the resulting fleet state to the
+ * traffic thread. It makes no calls itself, so nothing that the store leaves without a response delays a change. The
+ * threads that make calls are started and stopped with it: the readers of the changes, {@link EvidenceRenewal} and
+ * {@link FleetUpkeep}.
  */
 public final class FleetControl implements Runnable {
 
-    /** Time between renewals of the lease of the term record. Evidence stays valid for several of these intervals. */
-    private static final Duration RENEWAL_INTERVAL = Duration.ofMillis(300);
+    /** Longest time to wait for a change before expired entries are looked for. */
+    private static final Duration POLL_INTERVAL = Duration.ofMillis(250);
 
-    /** Longest time to wait for a store update before periodic work is checked. */
-    private static final Duration POLL_INTERVAL = Duration.ofMillis(100);
+    private static final Duration MIN_STORE_BACKOFF = Duration.ofMillis(50);
+    private static final Duration MAX_STORE_BACKOFF = Duration.ofMillis(800);
 
-    /** Time to live of the entry by which this daemon counts as live and gets a share of the connections. */
-    private static final Duration DAEMON_ENTRY_TIME_TO_LIVE = Duration.ofSeconds(6);
+    /** Number of daemons that may replace the expired lease of the term record; spread over the failure domains. */
+    private static final int LEASE_REPLACERS = 10;
+
+    /** Name under which these daemons are selected, as the owners of groups are. */
+    private static final GroupName LEASE_REPLACER_SELECTION = GroupName.of("term-record");
 
     /**
-     * Delay that each position among the live daemons adds before an expired lease is replaced. One daemon is enough
-     * for that, and the others need this time to learn of it.
+     * Delay that each earlier one of these daemons adds before this one replaces the lease. One is enough for that, and
+     * the others need this time to learn of it.
      */
-    private static final Duration REPLACEMENT_DELAY_PER_POSITION = Duration.ofMillis(60);
-
-    /** Highest position that adds to the delay. */
-    private static final int MAX_DELAYED_POSITION = 10;
+    private static final Duration REPLACEMENT_DELAY = Duration.ofMillis(60);
 
     private static final Logger LOG = Logger.getLogger(FleetControl.class);
 
     private final DaemonName daemon;
     private final Peer self;
-    private final FleetStore store;
-    private final EndpointCodec codec;
     private final MonotonicClock clock;
-    private final StoreChangeReader changeReader;
+    private final ChangeInbox inbox;
     private final StoreCache storeCache = new StoreCache();
     private final TermRecordManager terms;
-    private final UnreachabilityVotes unreachabilityVotes;
-    private final FailoverManager failovers;
-    private final LeasedEntry daemonEntry;
     private final LiveDaemons liveDaemons = new LiveDaemons();
     private final TrafficThread traffic;
-    private final Map<GroupName, Duration> missingSince = new HashMap<>();
-    private FleetSnapshot published = FleetSnapshot.EMPTY;
-    private boolean ownsGroups;
-    private boolean leaveAnnounced;
-    private Duration lastRenewalAt = Duration.ofSeconds(-1);
-    private boolean loaded;
-    private Thread storeThread;
-    private volatile boolean leaving;
-    private volatile boolean configured;
+    private final EvidenceRenewal renewal;
+    private final FleetUpkeep upkeep;
+    private final List<Thread> threads;
+    private volatile FleetSnapshot published = FleetSnapshot.EMPTY;
+    private volatile List<DaemonName> leaseReplacers = List.of();
+    private volatile boolean ownsGroups;
 
     /**
      * Creates the task.
@@ -106,40 +94,67 @@
             TrafficThread traffic) {
         this.daemon = daemon;
         this.self = self;
-        this.store = store;
-        this.codec = codec;
         this.clock = clocks.monotonic();
-        this.changeReader = new StoreChangeReader(store, clock, traffic, seeds, maxChangeDelay, random);
-        this.terms = new TermRecordManager(store, clock);
-        this.unreachabilityVotes = new UnreachabilityVotes(daemon, store, random);
-        this.failovers = new FailoverManager(daemon, store, codec, promotions, clocks);
-        this.daemonEntry = new LeasedEntry(store, LiveDaemons.key(daemon), DAEMON_ENTRY_TIME_TO_LIVE, random);
         this.traffic = traffic;
-    }
-
-    /** Starts the thread that reads changes of the store. */
-    public void startStoreThread() {
-        storeThread = new Thread(changeReader, "store");
-        storeThread.setDaemon(true);
-        storeThread.start();
-    }
-
-    /** Interrupts the thread that reads changes of the store. */
+        this.inbox = new ChangeInbox(
+                ChangeSources.create(
+                        maxChangeDelay,
+                        Backoff.create(MIN_STORE_BACKOFF, MAX_STORE_BACKOFF, random),
+                        seeds,
+                        clock.now()),
+                clock,
+                traffic);
+        StoreChangeReader changeReader = new StoreChangeReader(store, inbox, clock, maxChangeDelay);
+        this.terms = new TermRecordManager(store, clock);
+        this.renewal = new EvidenceRenewal(
+                terms, () -> ownsGroups || traffic.isBusy(), this::leaseReplacementDelay, () -> publish(false));
+        this.upkeep = new FleetUpkeep(
+                daemon,
+                self,
+                store,
+                codec,
+                clock,
+                random,
+                storeCache,
+                terms,
+                new FailoverManager(daemon, store, codec, promotions, clocks),
+                traffic,
+                () -> published,
+                changeReader::deliverImmediately);
+        this.threads = List.of(
+                newThread("store", changeReader),
+                newThread("feed", new FeedReader(inbox, store::decode)),
+                newThread("evidence", renewal),
+                newThread("upkeep", upkeep));
+    }
+
+    private static Thread newThread(String name, Runnable task) {
+        Thread thread = new Thread(task, name);
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    /** Starts the threads that read changes and make calls. */
+    public void startThreads() {
+        threads.forEach(Thread::start);
+    }
+
+    /** Interrupts the threads that read changes and make calls. */
     public void close() {
-        storeThread.interrupt();
+        threads.forEach(Thread::interrupt);
     }
 
     /** Returns whether this daemon has a configuration. May be called from any thread. */
     public boolean isConfigured() {
-        return configured;
+        return published.catalog().isPresent();
     }
 
     /**
-     * Makes the control thread announce that this daemon is leaving, withdraw its votes, and start no more failovers.
-     * May be called from any thread.
+     * Announces that this daemon is leaving, withdraws its votes, and starts no more failovers. May be called from any
+     * thread.
      */
     public void leave() {
-        leaving = true;
+        upkeep.leave();
     }
 
     @Override
@@ -149,55 +164,31 @@
                 runOnce();
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
+            } catch (RuntimeException e) {
+                LOG.errorf(e, "[fleet] Applying changes of the store failed unexpectedly; continuing with the next.");
             }
         }
     }
 
-    /** Waits for the next store update, but at most the poll interval, and then does all work that is due. */
+    /** Waits for the next changes, but at most the poll interval, and applies them and all that have arrived since. */
     private void runOnce() throws InterruptedException {
-        StoreChangeReader.Update update = changeReader.updates().poll(POLL_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+        ChangeInbox.Update update = inbox.updates().poll(POLL_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
         Duration now = clock.now();
-        if (update != null) {
+        boolean changed = update != null;
+        while (update != null) {
             applyUpdate(update, now);
+            update = inbox.updates().poll();
         }
-        boolean changed = update != null;
         changed |= storeCache.removeExpired(now);
         changed |= liveDaemons.removeExpired(now);
-        boolean renewalDue = now.minus(lastRenewalAt).compareTo(RENEWAL_INTERVAL) >= 0 || terms.isLeaseExpired();
-        if (renewalDue && (ownsGroups || traffic.isBusy())) {
-            lastRenewalAt = now;
-            terms.renewLease(leaseReplacementDelay());
-        }
-        publish(changed);
-        if (!loaded) {
-            return;
-        }
-        if (leaving) {
-            announceLeaving();
-            return;
-        }
-        daemonEntry.maintain(LiveDaemons.encode(self), revisionOf(LiveDaemons.key(daemon)), clock.now());
-        maintainGroups();
-    }
-
-    /** Tells the other daemons to send no more work here, and withdraws the votes of this daemon. */
-    private void announceLeaving() {
-        if (!leaveAnnounced) {
-            leaveAnnounced = true;
-            daemonEntry.replace(LiveDaemons.encodeLeaving(self), revisionOf(LiveDaemons.key(daemon)));
-            unreachabilityVotes.withdrawAll();
+        if (changed) {
+            publish(true);
         }
     }
 
-    /** Returns the revision of a fleet entry; {@link StoreWrite#ABSENT} if there is none. */
-    private long revisionOf(String key) {
-        return storeCache.entry(key).map(StoreEntry::revision).orElse(StoreWrite.ABSENT);
-    }
-
-    private void applyUpdate(StoreChangeReader.Update update, Duration now) {
+    private void applyUpdate(ChangeInbox.Update update, Duration now) {
         if (update.complete()) {
             storeCache.replaceAll(update.changes(), now);
-            loaded = true;
         } else {
             update.changes().changes().forEach(change -> storeCache.apply(change, now));
         }
@@ -206,111 +197,53 @@
             if (change instanceof StoreChange.EntryChanged changed
                     && changed.entry().key().equals(TermRecord.KEY)) {
                 terms.install(changed.entry());
-                lastRenewalAt = Duration.ofSeconds(-1);
+                renewal.requestRenewal();
             }
         }
     }
 
-    /** Passes the fleet state to the traffic thread if it has changed. */
-    private void publish(boolean changed) {
+    /**
+     * Passes the fleet state to the traffic thread if it has changed.
+     *
+     * @param changed whether anything but the evidence of the primaries may have changed
+     */
+    private synchronized void publish(boolean changed) {
         FleetSnapshot snapshot = published;
         if (changed) {
-            snapshot = FleetSnapshot.of(storeCache.catalog(), storeCache.endpoints(), liveDaemons.peers());
+            snapshot =
+                    FleetSnapshot.update(snapshot, storeCache.catalog(), storeCache.endpoints(), liveDaemons.peers());
+            if (!snapshot.hasSamePeersAs(published)) {
+                selectActors(snapshot.peers());
+            }
             // Only a daemon with connections to endpoints needs evidence of their primaries.
             ownsGroups = snapshot.ownsAnyGroup(daemon);
-            changeReader.setPeers(
-                    addresses(WatcherSelection.watchersFor(daemon, snapshot.peers())),
-                    addresses(Maps.filterKeys(snapshot.peers(), name -> !name.equals(daemon))
-                            .values()));
         }
         Map<GroupName, ProvenPrimary> proven = terms.evidence().views();
-        if (changed || !proven.equals(published.provenPrimaries())) {
+        if (snapshot != published || !proven.equals(published.provenPrimaries())) {
             published = snapshot.withProvenPrimaries(proven);
             traffic.applySnapshot(published);
-            configured = published.catalog().isPresent();
         }
     }
 
-    private static List<InetSocketAddress> addresses(Collection<Peer> peers) {
-        return peers.stream().map(Peer::address).toList();
-    }
-
-    private void maintainGroups() {
-        Set<EndpointName> unresponsive = traffic.unresponsiveEndpoints();
-        List<GroupName> groups = new ArrayList<>();
-        storeCache
-                .catalog()
-                .ifPresent(catalog -> groups.addAll(catalog.maxConnections().keySet()));
-        changeReader.deliverImmediately(isFailoverLikely(groups));
-        for (GroupName group : groups) {
-            Optional<GroupTerm> term = terms.evidence().record().group(group);
-            Map<EndpointName, EndpointEntry> members = storeCache.members(group);
-            if (term.isEmpty()) {
-                recordFirstPrimary(group, members);
-            } else {
-                boolean primaryUnresponsive = unresponsive.contains(term.get().primary());
-                unreachabilityVotes.updateOwnVote(
-                        group, term.get().primary(), primaryUnresponsive, storeCache, clock.now());
-                boolean votedOut = primaryUnresponsive
-                        && unreachabilityVotes.count(group, term.get().primary(), storeCache)
-                                > published.owners(group).size() / 2;
-                boolean locked = storeCache.entry(FailoverRun.lockKey(group)).isPresent();
-                failovers.startIfDue(group, term.get(), members, votedOut, locked, position(), clock.now());
-            }
-        }
-        failovers.removeFinished();
-    }
-
-    /** Returns whether there are votes against a primary or a group has an unfinished failover. */
-    private boolean isFailoverLikely(List<GroupName> groups) {
-        TermRecord record = terms.evidence().record();
-        return unreachabilityVotes.hasVotes(storeCache)
-                || groups.stream()
-                        .map(record::group)
-                        .flatMap(Optional::stream)
-                        .anyMatch(term -> term.phase() != TermPhase.OPEN);
-    }
-
-    /**
-     * Returns the position of this daemon among the live daemons by name, from 0. Work that one daemon can do for all
-     * is delayed by the position, so that usually only one daemon does it.
-     */
-    private int position() {
-        return (int) published.peers().keySet().stream()
-                .filter(name -> name.compareTo(daemon) < 0)
-                .count();
-    }
-
-    /** Returns how long this daemon waits for the daemons before it to replace an expired lease. */
-    private Duration leaseReplacementDelay() {
-        return REPLACEMENT_DELAY_PER_POSITION.multipliedBy(Math.min(position(), MAX_DELAYED_POSITION));
-    }
-
-    /**
-     * Adds a group to the term record with the primary that its endpoint reports. The daemon at position 0 does so
-     * immediately, each other one after a delay that grows with its position.
-     */
-    private void recordFirstPrimary(GroupName group, Map<EndpointName, EndpointEntry> members) {
-        Duration now = clock.now();
-        Duration since = missingSince.computeIfAbsent(group, name -> now);
-        if (now.minus(since).compareTo(POLL_INTERVAL.multipliedBy(position())) < 0) {
-            return;
-        }
-        List<EndpointEntry> primaries = members.values().stream()
-                .filter(entry -> entry.role() == EndpointRole.PRIMARY)
-                .toList();
-        if (primaries.size() != 1) {
-            return;
-        }
-        try (EndpointControlClient client = new EndpointControlClient(codec)) {
-            client.status(primaries.get(0))
-                    .filter(report -> report.role() == EndpointRole.PRIMARY)
-                    .forEach(report -> report.peek(status -> {
-                        LOG.infof(
-                                "[fleet] Endpoint %s is the primary of %s in term %d; adding it to the term record.",
-                                primaries.get(0).name(), group, status.term());
-                        terms.addGroup(group, primaries.get(0).name(), status.term());
-                    }));
-        }
+    /** Selects the sources of changes and the daemons that may replace the lease of the term record. */
+    private void selectActors(Map<DaemonName, Peer> peers) {
+        Map<DaemonName, Peer> daemons = new HashMap<>(peers);
+        // This daemon's own entry may not have come back from the store yet.
+        daemons.put(daemon, self);
+        WatcherSelection.Selection selection =
+                WatcherSelection.select(daemon, Maps.transformValues(daemons, Peer::failureDomain));
+        inbox.setSources(
+                selection.watcher(),
+                selection.feeds().stream()
+                        .map(name -> daemons.get(name).address())
+                        .collect(ImmutableList.toImmutableList()));
+        leaseReplacers = GroupOwners.select(
+                LEASE_REPLACER_SELECTION, Maps.transformValues(daemons, Peer::failureDomain), LEASE_REPLACERS);
+    }
+
+    /** Returns how long this daemon waits for those selected before it to replace an expired lease. */
+    private Optional<Duration> leaseReplacementDelay() {
+        int position = leaseReplacers.indexOf(daemon);
+        return position < 0 ? Optional.empty() : Optional.of(REPLACEMENT_DELAY.multipliedBy(position));
     }
 }
--- /dev/null
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetUpkeep.java
@@ -0,0 +1,227 @@
+package org.lavenderwick.daemon.fleet;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+import org.jboss.logging.Logger;
+import org.lavenderwick.adapters.session.EndpointCodec;
+import org.lavenderwick.core.catalog.EndpointEntry;
+import org.lavenderwick.core.catalog.EndpointRole;
+import org.lavenderwick.core.failover.FailoverRun;
+import org.lavenderwick.core.failover.GroupTerm;
+import org.lavenderwick.core.failover.TermPhase;
+import org.lavenderwick.core.failover.TermRecord;
+import org.lavenderwick.core.model.DaemonName;
+import org.lavenderwick.core.model.EndpointName;
+import org.lavenderwick.core.model.GroupName;
+import org.lavenderwick.core.store.FleetStore;
+import org.lavenderwick.core.store.StoreEntry;
+import org.lavenderwick.core.store.StoreWrite;
+import org.lavenderwick.core.time.MonotonicClock;
+import org.lavenderwick.daemon.session.FleetSnapshot;
+import org.lavenderwick.daemon.session.Peer;
+import org.lavenderwick.daemon.session.TrafficThread;
+
+/**
+ * The task of the thread that maintains this daemon's store entries, votes on unresponsive primaries and starts
+ * failovers. Its store calls may block; what other threads do does not wait for them.
+ *
+ * <p>For each group only its owners act, in the order in which they were selected: they are few, spread over the
+ * failure domains, and change little when daemons join or leave. Each waits a little for those before it, so that one
+ * that does not act is replaced fast, and usually only one acts.
+ */
+final class FleetUpkeep implements Runnable {
+
+    /** Time between two rounds of work. */
+    private static final Duration INTERVAL = Duration.ofMillis(100);
+
+    /** Time to live of the entry by which this daemon counts as live and gets a share of the connections. */
+    private static final Duration DAEMON_ENTRY_TIME_TO_LIVE = Duration.ofSeconds(6);
+
+    /** Delay that each earlier owner adds before this daemon records the first primary of a group. */
+    private static final Duration FIRST_PRIMARY_DELAY = Duration.ofMillis(100);
+
+    private static final Logger LOG = Logger.getLogger(FleetUpkeep.class);
+
+    private final DaemonName daemon;
+    private final Peer self;
+    private final EndpointCodec codec;
+    private final MonotonicClock clock;
+    private final StoreCache storeCache;
+    private final TermRecordManager terms;
+    private final UnreachabilityVotes unreachabilityVotes;
+    private final FailoverManager failovers;
+    private final LeasedEntry daemonEntry;
+    private final TrafficThread traffic;
+    private final Supplier<FleetSnapshot> snapshot;
+    private final Consumer<Boolean> onFailoverLikely;
+    private final Map<GroupName, Duration> missingSince = new HashMap<>();
+    private boolean leaveAnnounced;
+    private volatile boolean leaving;
+
+    /**
+     * Creates the task.
+     *
+     * @param self the failure domain of this daemon and its address for other daemons
+     * @param snapshot returns the newest state of the fleet
+     * @param onFailoverLikely receives whether a primary is suspected or being replaced
+     */
+    FleetUpkeep(
+            DaemonName daemon,
+            Peer self,
+            FleetStore store,
+            EndpointCodec codec,
+            MonotonicClock clock,
+            RandomGenerator random,
+            StoreCache storeCache,
+            TermRecordManager terms,
+            FailoverManager failovers,
+            TrafficThread traffic,
+            Supplier<FleetSnapshot> snapshot,
+            Consumer<Boolean> onFailoverLikely) {
+        this.daemon = daemon;
+        this.self = self;
+        this.codec = codec;
+        this.clock = clock;
+        this.storeCache = storeCache;
+        this.terms = terms;
+        this.unreachabilityVotes = new UnreachabilityVotes(daemon, store, random);
+        this.failovers = failovers;
+        this.daemonEntry = new LeasedEntry(store, LiveDaemons.key(daemon), DAEMON_ENTRY_TIME_TO_LIVE, random);
+        this.traffic = traffic;
+        this.snapshot = snapshot;
+        this.onFailoverLikely = onFailoverLikely;
+    }
+
+    /**
+     * Makes this task announce that the daemon is leaving, withdraw its votes, and start no more failovers. May be
+     * called from any thread.
+     */
+    void leave() {
+        leaving = true;
+    }
+
+    @Override
+    public void run() {
+        while (!Thread.currentThread().isInterrupted()) {
+            try {
+                Thread.sleep(INTERVAL.toMillis());
+                runOnce();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            } catch (RuntimeException e) {
+                LOG.errorf(e, "[fleet] The upkeep of the fleet failed unexpectedly; trying again.");
+            }
+        }
+    }
+
+    private void runOnce() {
+        if (!storeCache.isLoaded()) {
+            return;
+        }
+        if (leaving) {
+            announceLeaving();
+            return;
+        }
+        // The groups come first: a call for the daemon's own entry may take long, and nothing depends on it so soon.
+        maintainGroups(snapshot.get());
+        daemonEntry.maintain(LiveDaemons.encode(self), revisionOf(LiveDaemons.key(daemon)), clock.now());
+    }
+
+    /** Tells the other daemons to send no more work here, and withdraws the votes of this daemon. */
+    private void announceLeaving() {
+        if (!leaveAnnounced) {
+            leaveAnnounced = true;
+            daemonEntry.replace(LiveDaemons.encodeLeaving(self), revisionOf(LiveDaemons.key(daemon)));
+            unreachabilityVotes.withdrawAll();
+        }
+    }
+
+    /** Returns the revision of a fleet entry; {@link StoreWrite#ABSENT} if there is none. */
+    private long revisionOf(String key) {
+        return storeCache.entry(key).map(StoreEntry::revision).orElse(StoreWrite.ABSENT);
+    }
+
+    private void maintainGroups(FleetSnapshot current) {
+        Set<EndpointName> unresponsive = traffic.unresponsiveEndpoints();
+        TermRecord record = terms.evidence().record();
+        Set<GroupName> groups = current.catalog()
+                .map(catalog -> catalog.maxConnections().keySet())
+                .orElse(Set.of());
+        onFailoverLikely.accept(unreachabilityVotes.hasVotes(storeCache) || hasUnfinishedFailover(record, groups));
+        for (GroupName group : groups) {
+            List<DaemonName> owners = current.owners(group);
+            int position = owners.indexOf(daemon);
+            if (position < 0) {
+                unreachabilityVotes.withdraw(group);
+                continue;
+            }
+            Optional<GroupTerm> term = record.group(group);
+            Map<EndpointName, EndpointEntry> members = storeCache.members(group);
+            if (term.isEmpty()) {
+                recordFirstPrimary(group, members, position);
+            } else {
+                maintainGroup(group, term.get(), members, unresponsive, owners.size(), position);
+            }
+        }
+        failovers.removeFinished();
+    }
+
+    private void maintainGroup(
+            GroupName group,
+            GroupTerm term,
+            Map<EndpointName, EndpointEntry> members,
+            Set<EndpointName> unresponsive,
+            int owners,
+            int position) {
+        boolean primaryUnresponsive = unresponsive.contains(term.primary());
+        unreachabilityVotes.updateOwnVote(group, term.primary(), primaryUnresponsive, storeCache, clock.now());
+        boolean votedOut =
+                primaryUnresponsive && unreachabilityVotes.count(group, term.primary(), storeCache) > owners / 2;
+        boolean locked = storeCache.entry(FailoverRun.lockKey(group)).isPresent();
+        failovers.startIfDue(group, term, members, votedOut, locked, position, clock.now());
+    }
+
+    /** Returns whether a group has a failover that has begun and not ended. */
+    private static boolean hasUnfinishedFailover(TermRecord record, Set<GroupName> groups) {
+        return groups.stream()
+                .map(record::group)
+                .flatMap(Optional::stream)
+                .anyMatch(term -> term.phase() != TermPhase.OPEN);
+    }
+
+    /**
+     * Adds a group to the term record with the primary that its endpoint reports. The first owner does so immediately,
+     * each other one after a delay that grows with its position among the owners.
+     */
+    private void recordFirstPrimary(GroupName group, Map<EndpointName, EndpointEntry> members, int position) {
+        Duration now = clock.now();
+        Duration since = missingSince.computeIfAbsent(group, name -> now);
+        if (now.minus(since).compareTo(FIRST_PRIMARY_DELAY.multipliedBy(position)) < 0) {
+            return;
+        }
+        List<EndpointEntry> primaries = members.values().stream()
+                .filter(entry -> entry.role() == EndpointRole.PRIMARY)
+                .toList();
+        if (primaries.size() != 1) {
+            return;
+        }
+        try (EndpointControlClient client = new EndpointControlClient(codec)) {
+            client.status(primaries.get(0))
+                    .filter(report -> report.role() == EndpointRole.PRIMARY)
+                    .forEach(report -> report.peek(status -> {
+                        LOG.infof(
+                                "[fleet] Endpoint %s is the primary of %s in term %d; adding it to the term record.",
+                                primaries.get(0).name(), group, status.term());
+                        terms.addGroup(group, primaries.get(0).name(), status.term());
+                    }));
+        }
+    }
+}
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/PeerFeed.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/PeerFeed.java
@@ -22,9 +22,6 @@
     /** Time to open the connection: a few round trips. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
 
-    /** Time without data after which the feed fails; three times the longest interval between two lines of a peer. */
-    private static final Duration READ_TIMEOUT = Duration.ofMillis(1500);
-
     /**
      * Store changes that the peer sent together.
      *
@@ -49,7 +46,6 @@
         Socket socket = new Socket();
         try {
             socket.connect(peer, (int) CONNECT_TIMEOUT.toMillis());
-            socket.setSoTimeout((int) READ_TIMEOUT.toMillis());
             socket.getOutputStream()
                     .write((FeedProtocol.formatSubscription(afterRevision) + "\r\n")
                             .getBytes(StandardCharsets.ISO_8859_1));
@@ -62,8 +58,13 @@
         }
     }
 
-    /** Waits for the next batch of changes and returns it; fails if the feed ends or breaks the protocol. */
-    Batch nextBatch() throws IOException {
+    /**
+     * Waits for the next batch of changes and returns it; fails if the feed ends or breaks the protocol.
+     *
+     * @param timeout time without data after which the feed fails
+     */
+    Batch nextBatch(Duration timeout) throws IOException {
+        socket.setSoTimeout((int) timeout.toMillis());
         List<StoreChange> changes = new ArrayList<>();
         List<String> encoded = new ArrayList<>();
         boolean complete = false;
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/StoreCache.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/StoreCache.java
@@ -6,9 +6,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.SortedMap;
 import java.util.TreeMap;
 
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Maps;
 import org.jboss.logging.Logger;
 import org.lavenderwick.core.catalog.Catalog;
 import org.lavenderwick.core.catalog.EndpointEntry;
@@ -18,7 +19,7 @@
 import org.lavenderwick.core.store.StoreChanges;
 import org.lavenderwick.core.store.StoreEntry;
 
-/** A local copy of the configuration, the endpoints and the fleet entries of the store. Confined to one thread. */
+/** A local copy of the configuration, the endpoints and the fleet entries of the store. Thread-safe. */
 final class StoreCache {
 
     /**
@@ -37,10 +38,15 @@
     private final TreeMap<String, StoreEntry> entries = new TreeMap<>();
     private final Set<String> loggedEntries = new HashSet<>();
     private Optional<Catalog> catalog = Optional.empty();
+    private Map<EndpointName, EndpointEntry> endpointsView = ImmutableMap.of();
+    private Map<GroupName, Map<EndpointName, EndpointEntry>> membersView = ImmutableMap.of();
+    private boolean viewsOutdated;
+    private boolean loaded;
 
     /** Replaces the fleet entries by the complete content of the store; endpoints that it lacks count as removed. */
-    void replaceAll(StoreChanges content, Duration now) {
+    synchronized void replaceAll(StoreChanges content, Duration now) {
         Set<EndpointName> absent = new HashSet<>(endpoints.keySet());
+        loaded = true;
         entries.clear();
         for (StoreChange change : content.changes()) {
             apply(change, now);
@@ -51,12 +57,18 @@
         absent.forEach(name -> missingSince.putIfAbsent(name, now));
     }
 
+    /** Returns whether the complete content of the store has been read. */
+    synchronized boolean isLoaded() {
+        return loaded;
+    }
+
     /** Applies one change. */
-    void apply(StoreChange change, Duration now) {
+    synchronized void apply(StoreChange change, Duration now) {
         if (change instanceof StoreChange.CatalogChanged changed) {
             install(changed.catalog());
         } else if (change instanceof StoreChange.EndpointChanged changed) {
-            endpoints.put(changed.entry().name(), changed.entry());
+            EndpointEntry before = endpoints.put(changed.entry().name(), changed.entry());
+            viewsOutdated |= !changed.entry().equals(before);
             missingSince.remove(changed.entry().name());
         } else if (change instanceof StoreChange.EndpointRemoved removed) {
             markMissing(removed.name(), now);
@@ -96,11 +108,12 @@
     }
 
     /** Removes the endpoints whose entries have been missing for {@link #REMOVAL_GRACE}; returns if there were any. */
-    boolean removeExpired(Duration now) {
+    synchronized boolean removeExpired(Duration now) {
         return missingSince.entrySet().removeIf(missing -> {
             boolean expired = missing.getValue().plus(REMOVAL_GRACE).compareTo(now) <= 0;
             if (expired) {
                 endpoints.remove(missing.getKey());
+                viewsOutdated = true;
                 LOG.infof("[fleet] Removed the endpoint %s: its entry is missing from the store.", missing.getKey());
             }
             return expired;
@@ -108,29 +121,46 @@
     }
 
     /** Returns the configuration; empty if none was read yet. */
-    Optional<Catalog> catalog() {
+    synchronized Optional<Catalog> catalog() {
         return catalog;
     }
 
-    /** Returns the endpoints of all groups. */
-    Map<EndpointName, EndpointEntry> endpoints() {
-        return endpoints;
+    /** Returns the endpoints of all groups. The same object is returned until one of them changes. */
+    synchronized Map<EndpointName, EndpointEntry> endpoints() {
+        updateViews();
+        return endpointsView;
     }
 
     /** Returns the endpoints of a group. */
-    Map<EndpointName, EndpointEntry> members(GroupName group) {
-        Map<EndpointName, EndpointEntry> members = new HashMap<>(endpoints);
-        members.values().removeIf(entry -> !entry.group().equals(group));
-        return members;
+    synchronized Map<EndpointName, EndpointEntry> members(GroupName group) {
+        updateViews();
+        return membersView.getOrDefault(group, ImmutableMap.of());
+    }
+
+    private void updateViews() {
+        if (!viewsOutdated) {
+            return;
+        }
+        viewsOutdated = false;
+        endpointsView = ImmutableMap.copyOf(endpoints);
+        Map<GroupName, Map<EndpointName, EndpointEntry>> byGroup = new HashMap<>();
+        endpoints.forEach((name, entry) ->
+                byGroup.computeIfAbsent(entry.group(), group -> new HashMap<>()).put(name, entry));
+        membersView = ImmutableMap.copyOf(Maps.transformValues(byGroup, ImmutableMap::copyOf));
     }
 
     /** Returns the fleet entry with the given key; empty if there is none. */
-    Optional<StoreEntry> entry(String key) {
+    synchronized Optional<StoreEntry> entry(String key) {
         return Optional.ofNullable(entries.get(key));
     }
 
-    /** Returns a view of the fleet entries whose keys start with the given prefix. */
-    SortedMap<String, StoreEntry> entriesWithPrefix(String prefix) {
-        return entries.subMap(prefix, prefix + Character.MAX_VALUE);
+    /** Returns the fleet entries whose keys start with the given prefix. */
+    synchronized Map<String, StoreEntry> entriesWithPrefix(String prefix) {
+        return ImmutableMap.copyOf(entries.subMap(prefix, prefix + Character.MAX_VALUE));
+    }
+
+    /** Returns whether any fleet entry's key starts with the given prefix. */
+    synchronized boolean hasEntryWithPrefix(String prefix) {
+        return !entries.subMap(prefix, prefix + Character.MAX_VALUE).isEmpty();
     }
 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/TermRecordManager.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/TermRecordManager.java
@@ -1,6 +1,7 @@
 package org.lavenderwick.daemon.fleet;
 
 import java.time.Duration;
+import java.util.Optional;
 
 import io.vavr.control.Either;
 import org.jboss.logging.Logger;
@@ -21,7 +22,7 @@
 
 /**
  * Renews the lease of the term record to obtain evidence of the primaries, replaces the lease after it has expired, and
- * adds groups that the record lacks. Confined to one thread.
+ * adds groups that the record lacks. {@link #renewLease} is confined to one thread, the other methods are thread-safe.
  */
 final class TermRecordManager {
 
@@ -39,7 +40,7 @@
     private final LeaseEvidence evidence = LeaseEvidence.create();
     private Duration nextRenewalAt = Duration.ofSeconds(Long.MIN_VALUE);
     private Duration retryDelay = MIN_RETRY_DELAY;
-    private long expiredLease = StoreWrite.NO_LEASE;
+    private volatile long expiredLease = StoreWrite.NO_LEASE;
     private Duration replacementDelayStart;
 
     TermRecordManager(FleetStore store, MonotonicClock clock) {
@@ -69,9 +70,10 @@
      * Renews the lease of the term record, which proves that the record is current. Replaces the lease if it has
      * expired. Does nothing while a retry is delayed.
      *
-     * @param replacementDelay time for which this daemon waits for others to replace an expired lease
+     * @param replacementDelay time for which this daemon waits for others to replace an expired lease; empty if it does
+     *     not replace it
      */
-    void renewLease(Duration replacementDelay) {
+    void renewLease(Optional<Duration> replacementDelay) {
         long lease = evidence.record().lease();
         Duration now = clock.now();
         if (evidence.revision() == 0 || now.compareTo(nextRenewalAt) < 0) {
@@ -102,8 +104,8 @@
         return evidence.revision() != 0 && evidence.record().lease() == expiredLease;
     }
 
-    private void replaceExpiredLeaseAfter(Duration now, Duration replacementDelay) {
-        if (now.minus(replacementDelayStart).compareTo(replacementDelay) >= 0) {
+    private void replaceExpiredLeaseAfter(Duration now, Optional<Duration> replacementDelay) {
+        if (replacementDelay.isPresent() && now.minus(replacementDelayStart).compareTo(replacementDelay.get()) >= 0) {
             // Delays the next attempt of this daemon, so that other daemons can make theirs first.
             replacementDelayStart = now.plus(MIN_RETRY_DELAY);
             replaceExpiredLease();
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/UnreachabilityVotes.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/UnreachabilityVotes.java
@@ -15,8 +15,8 @@
 
 /**
  * The votes that daemons write to the store when a primary does not respond to them. A primary is replaced if the votes
- * exceed half the number of daemons that own its group, but not if only a few daemons cannot reach it. Confined to the
- * control thread.
+ * exceed half the number of daemons that own its group, but not if only a few daemons cannot reach it. Confined to one
+ * thread.
  */
 final class UnreachabilityVotes {
 
@@ -55,9 +55,16 @@
             }
             long revision = cache.entry(key).map(StoreEntry::revision).orElse(StoreWrite.ABSENT);
             vote.maintain(primary.value(), revision, now);
-        } else if (vote != null) {
+        } else {
+            withdraw(group);
+        }
+    }
+
+    /** Withdraws this daemon's vote on a group, if there is one. */
+    void withdraw(GroupName group) {
+        LeasedEntry vote = votes.remove(group);
+        if (vote != null) {
             vote.remove();
-            votes.remove(group);
         }
     }
 
@@ -70,7 +77,7 @@
 
     /** Returns whether there is a vote of any daemon on any group. */
     boolean hasVotes(StoreCache cache) {
-        return !votes.isEmpty() || !cache.entriesWithPrefix(PREFIX).isEmpty();
+        return !votes.isEmpty() || cache.hasEntryWithPrefix(PREFIX);
     }
 
     /** Withdraws all votes of this daemon. */
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/Acceptor.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/Acceptor.java
@@ -43,7 +43,7 @@
     public static void acceptSessions(EventLoop loop, InetSocketAddress address, SessionProxy proxy)
             throws IOException {
         listen(loop, address, channel -> {
-            CallerConnection session = proxy.newSession(false);
+            CallerConnection session = proxy.newSession();
             session.attach(LineConnection.accepted(loop, channel, session));
         });
     }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerConnection.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerConnection.java
@@ -30,30 +30,49 @@
     private final EndpointCodec endpointCodec;
     private final EventLoop loop;
     private final boolean relayedFromPeer;
+    private final Optional<RelayProtocol.Origin> origin;
     private final Deque<Peer> untriedOwners = new ArrayDeque<>();
+    private RelayProtocol.Origin relayOrigin;
     private LineConnection line;
     private CallerSession localSession;
     private RelayedSession relayedSession;
     private String firstLine;
     private Duration lastRequestAt;
 
-    /**
-     * Creates a connection that has not received any message yet.
-     *
-     * @param relayedFromPeer whether another daemon relays the session; such a session is always served here, even if
-     *     this daemon does not own the group
-     */
-    CallerConnection(
+    private CallerConnection(
             SessionProxy proxy,
             CallerCodec codec,
             EndpointCodec endpointCodec,
             EventLoop loop,
-            boolean relayedFromPeer) {
+            boolean relayedFromPeer,
+            Optional<RelayProtocol.Origin> origin) {
         this.proxy = proxy;
         this.codec = codec;
         this.endpointCodec = endpointCodec;
         this.loop = loop;
         this.relayedFromPeer = relayedFromPeer;
+        this.origin = origin;
+    }
+
+    /** Returns the connection of a caller that has not sent any message yet. */
+    static CallerConnection ofCaller(
+            SessionProxy proxy, CallerCodec codec, EndpointCodec endpointCodec, EventLoop loop) {
+        return new CallerConnection(proxy, codec, endpointCodec, loop, false, Optional.empty());
+    }
+
+    /**
+     * Returns the connection of a session that another daemon relays. It is served here, even if this daemon does not
+     * own the group, unless the configuration of this daemon is too old for it.
+     *
+     * @param origin the configuration by which it is relayed; empty if unknown
+     */
+    static CallerConnection ofPeer(
+            SessionProxy proxy,
+            CallerCodec codec,
+            EndpointCodec endpointCodec,
+            EventLoop loop,
+            Optional<RelayProtocol.Origin> origin) {
+        return new CallerConnection(proxy, codec, endpointCodec, loop, true, origin);
     }
 
     void attach(LineConnection connection) {
@@ -79,10 +98,19 @@
 
     private void openSession(String text) {
         firstLine = text;
+        Optional<String> database = requestedDatabase(text);
+        if (origin.isPresent() && origin.get().isNewerThan(proxy.catalog(), database)) {
+            line.send(RelayProtocol.OUTDATED);
+            line.closeAfterSending();
+            proxy.onSessionEnded(this);
+            return;
+        }
         if (!relayedFromPeer) {
-            requestedDatabase(text)
-                    .flatMap(database -> proxy.route(database).toJavaOptional())
-                    .ifPresent(route -> untriedOwners.addAll(proxy.relayCandidates(route.group())));
+            database.flatMap(name -> proxy.route(name).toJavaOptional()).ifPresent(route -> {
+                relayOrigin =
+                        new RelayProtocol.Origin(proxy.catalog().orElseThrow().version(), route.group());
+                untriedOwners.addAll(proxy.relayCandidates(route.group()));
+            });
         }
         openAtNextOwner();
     }
@@ -99,7 +127,7 @@
             Peer peer = untriedOwners.removeFirst();
             try {
                 RelayedSession next = new RelayedSession(endpointCodec, this);
-                next.open(loop, peer, firstLine);
+                next.open(loop, peer, relayOrigin, firstLine);
                 relayedSession = next;
                 lastRequestAt = loop.now();
             } catch (IOException e) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/FeedProtocol.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/FeedProtocol.java
@@ -9,9 +9,9 @@
 
 /**
  * The line protocol in which a daemon sends store changes to other daemons. A subscriber sends the store revision that
- * it has. If the sender has a later revision, the first batch holds the whole content of the store. Each later batch
- * holds the changes since the one before. Every batch, even an empty one, ends with a line that carries its revision
- * and age.
+ * it has. The first batch holds the changes since then, or the whole content of the store if the sender no longer has
+ * these changes. Each later batch holds the changes since the one before. Every batch, even an empty one, ends with a
+ * line that carries its revision and age.
  */
 public final class FeedProtocol {
 
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/FleetSnapshot.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/FleetSnapshot.java
@@ -1,5 +1,6 @@
 package org.lavenderwick.daemon.session;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -12,12 +13,14 @@
 import org.lavenderwick.core.failover.ProvenPrimary;
 import org.lavenderwick.core.model.DaemonName;
 import org.lavenderwick.core.model.EndpointName;
+import org.lavenderwick.core.model.FailureDomain;
 import org.lavenderwick.core.model.GroupName;
 
 /**
  * An immutable snapshot of the fleet, passed from the control thread to the traffic thread: the configuration, the
  * endpoints, the daemons, the owners of each group and the proven primaries. The proven primaries change several times
- * a second, the other parts rarely, so {@link #withProvenPrimaries} reuses the computed owners.
+ * a second, the other parts rarely, so {@link #withProvenPrimaries} reuses the computed owners,
+ * and {@link #update} reuses all that has not changed.
  */
 public final class FleetSnapshot {
 
@@ -55,35 +58,74 @@
      */
     public static FleetSnapshot of(
             Optional<Catalog> catalog, Map<EndpointName, EndpointEntry> endpoints, Map<DaemonName, Peer> peers) {
-        ImmutableMap.Builder<GroupName, List<DaemonName>> owners = ImmutableMap.builder();
-        catalog.ifPresent(known -> known.maxConnections().keySet().forEach(group -> {
-            int slots = endpoints.values().stream()
-                    .filter(entry -> entry.group().equals(group))
-                    .mapToInt(EndpointEntry::slots)
-                    .max()
-                    .orElse(1);
-            int count = GroupOwners.count(peers.size(), slots, sharedConnections(catalog, group));
-            owners.put(group, GroupOwners.select(group, Maps.transformValues(peers, Peer::failureDomain), count));
-        }));
         return new FleetSnapshot(
                 catalog,
                 ImmutableMap.copyOf(endpoints),
                 ImmutableMap.copyOf(peers),
-                owners.buildOrThrow(),
+                selectOwners(catalog, endpoints, peers),
                 ImmutableMap.of());
     }
 
+    /**
+     * Returns the given snapshot if it has the given content, and otherwise a new one that shares what is equal in
+     * both. The owners are only selected anew if something they depend on has changed: a change of a route, or of an
+     * endpoint that keeps its slots, leaves them as they are.
+     */
+    public static FleetSnapshot update(
+            FleetSnapshot before,
+            Optional<Catalog> catalog,
+            Map<EndpointName, EndpointEntry> endpoints,
+            Map<DaemonName, Peer> peers) {
+        boolean samePeers = peers.equals(before.peers);
+        boolean sameEndpoints = endpoints.equals(before.endpoints);
+        if (samePeers && sameEndpoints && catalog.equals(before.catalog)) {
+            return before;
+        }
+        boolean sameOwners = samePeers
+                && catalog.map(Catalog::maxConnections).equals(before.catalog.map(Catalog::maxConnections))
+                && (sameEndpoints || slotsByGroup(endpoints).equals(slotsByGroup(before.endpoints)));
+        return new FleetSnapshot(
+                catalog,
+                sameEndpoints ? before.endpoints : ImmutableMap.copyOf(endpoints),
+                samePeers ? before.peers : ImmutableMap.copyOf(peers),
+                sameOwners ? before.owners : selectOwners(catalog, endpoints, peers),
+                before.provenPrimaries);
+    }
+
+    /** Returns the slots of the endpoints of each group; the highest number, if they differ. */
+    private static Map<GroupName, Integer> slotsByGroup(Map<EndpointName, EndpointEntry> endpoints) {
+        Map<GroupName, Integer> slots = new HashMap<>();
+        endpoints.values().forEach(entry -> slots.merge(entry.group(), entry.slots(), Math::max));
+        return slots;
+    }
+
+    private static ImmutableMap<GroupName, List<DaemonName>> selectOwners(
+            Optional<Catalog> catalog, Map<EndpointName, EndpointEntry> endpoints, Map<DaemonName, Peer> peers) {
+        Map<GroupName, Integer> slots = slotsByGroup(endpoints);
+        Map<DaemonName, FailureDomain> domains = ImmutableMap.copyOf(Maps.transformValues(peers, Peer::failureDomain));
+        ImmutableMap.Builder<GroupName, List<DaemonName>> owners = ImmutableMap.builder();
+        catalog.ifPresent(known -> known.maxConnections().keySet().forEach(group -> {
+            int count =
+                    GroupOwners.count(peers.size(), slots.getOrDefault(group, 1), sharedConnections(catalog, group));
+            owners.put(group, GroupOwners.select(group, domains, count));
+        }));
+        return owners.buildOrThrow();
+    }
+
     /** Returns a copy of this snapshot with the given proven primaries. */
     public FleetSnapshot withProvenPrimaries(Map<GroupName, ProvenPrimary> proven) {
         return new FleetSnapshot(catalog, endpoints, peers, owners, ImmutableMap.copyOf(proven));
     }
 
-    /**
-     * Returns whether both snapshots stem from the same call of {@link #of}, so that they differ at most in the proven
-     * primaries.
-     */
+    /** Returns whether both snapshots were made with the same endpoints, owners and limits of connections. */
     boolean hasSameLayoutAs(FleetSnapshot other) {
-        return owners == other.owners;
+        // Equal limits are part of what lets snapshots share the same owners.
+        return owners == other.owners && endpoints == other.endpoints;
+    }
+
+    /** Returns whether both snapshots share the same daemons. */
+    public boolean hasSamePeersAs(FleetSnapshot other) {
+        return peers == other.peers;
     }
 
     /** Returns the active configuration; empty if none is known. */
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/IncomingPeerConnection.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/IncomingPeerConnection.java
@@ -12,6 +12,7 @@
     private final StoreFeed feed;
     private LineConnection line;
     private CallerConnection session;
+    private Optional<RelayProtocol.Origin> origin = Optional.empty();
 
     IncomingPeerConnection(SessionProxy proxy, StoreFeed feed) {
         this.proxy = proxy;
@@ -29,9 +30,16 @@
 
     @Override
     public void onLine(String text) {
-        Optional<Long> knownRevision = session == null ? FeedProtocol.parseSubscription(text) : Optional.empty();
+        if (session != null) {
+            session.onLine(text);
+            return;
+        }
+        Optional<Long> knownRevision = FeedProtocol.parseSubscription(text);
+        Optional<RelayProtocol.Origin> opened = RelayProtocol.parse(text);
         if (knownRevision.isPresent()) {
             feed.subscribe(line, knownRevision.get());
+        } else if (opened.isPresent()) {
+            origin = opened;
         } else {
             session().onLine(text);
         }
@@ -39,7 +47,7 @@
 
     private CallerConnection session() {
         if (session == null) {
-            session = proxy.newSession(true);
+            session = proxy.newRelayedSession(origin);
             session.attach(line);
         }
         return session;
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/RelayedSession.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/RelayedSession.java
@@ -42,9 +42,14 @@
         this.listener = listener;
     }
 
-    /** Starts to connect to an owner and queues the caller's first line, which opens the session there. */
-    void open(EventLoop loop, Peer peer, String firstLine) throws IOException {
+    /**
+     * Starts to connect to an owner and queues the caller's first line, which opens the session there.
+     *
+     * @param origin the configuration by which the owner was selected
+     */
+    void open(EventLoop loop, Peer peer, RelayProtocol.Origin origin, String firstLine) throws IOException {
         owner = LineConnection.connect(loop, peer.address(), new OwnerListener());
+        owner.send(RelayProtocol.format(origin));
         owner.send(firstLine);
     }
 
@@ -83,6 +88,11 @@
 
         @Override
         public void onLine(String line) {
+            if (!accepted && line.equals(RelayProtocol.OUTDATED)) {
+                owner.close();
+                listener.onOwnerLost(false);
+                return;
+            }
             Either<Failure, EndpointMessage> message = codec.parse(line);
             // Any response is forwarded to the caller, even an error. The session must not be opened at another
             // owner after that, since the caller would receive a second response.
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
@@ -83,17 +83,30 @@
         loop.onWakeup(this::checkForClockJump);
     }
 
+    /** Returns a new session of a caller that is connected to this daemon. */
+    CallerConnection newSession() {
+        return register(CallerConnection.ofCaller(this, callerCodec, endpointCodec, loop));
+    }
+
     /**
-     * Returns a new session.
+     * Returns a new session that another daemon relays to this one. It is always served here.
      *
-     * @param relayed whether another daemon relays the session to this one; it is then always served here
+     * @param origin the configuration by which it is relayed; empty if the other daemon did not say
      */
-    CallerConnection newSession(boolean relayed) {
-        CallerConnection session = new CallerConnection(this, callerCodec, endpointCodec, loop, relayed);
+    CallerConnection newRelayedSession(Optional<RelayProtocol.Origin> origin) {
+        return register(CallerConnection.ofPeer(this, callerCodec, endpointCodec, loop, origin));
+    }
+
+    private CallerConnection register(CallerConnection session) {
         sessions.add(session);
         return session;
     }
 
+    /** Returns the active configuration; empty if none is known. */
+    Optional<Catalog> catalog() {
+        return snapshot.catalog();
+    }
+
     /** Returns the listener of a connection accepted from another daemon. */
     IncomingPeerConnection newPeerConnection() {
         return new IncomingPeerConnection(this, feed);
@@ -196,8 +209,8 @@
     }
 
     @Override
-    public void closeFeed() {
-        loop.execute(feed::closeAll);
+    public void confirmStoreContent(Duration currentAt) {
+        loop.execute(() -> feed.confirm(currentAt));
     }
 
     @Override
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/StoreFeed.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/StoreFeed.java
@@ -1,12 +1,15 @@
 package org.lavenderwick.daemon.session;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
+import org.lavenderwick.core.propagation.ChangeSources;
 import org.lavenderwick.core.store.StoreChange;
 import org.lavenderwick.core.store.StoreChanges;
 
@@ -17,14 +20,18 @@
 final class StoreFeed {
 
     /**
-     * Interval between heartbeats. A subscriber that receives nothing for three intervals changes to another source.
+     * Number of recent changes that are kept, so that a subscriber that changes to this feed gets only what it lacks.
      */
-    static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(500);
+    private static final int MAX_RECENT_CHANGES = 1000;
+
+    private record RecentChange(long revision, String encoded) {}
 
     private final EventLoop loop;
     private final Map<String, String> latestChanges = new LinkedHashMap<>();
+    private final Deque<RecentChange> recentChanges = new ArrayDeque<>();
     private final Set<LineConnection> subscribers = new HashSet<>();
     private long revision = -1;
+    private long recentSince = -1;
     private Duration currentAt;
     private Duration lastSentAt = Duration.ZERO;
 
@@ -42,10 +49,19 @@
         if (complete) {
             // Subscribers cannot detect which entries have been removed, so they have to subscribe again.
             latestChanges.clear();
+            recentChanges.clear();
+            recentSince = changes.revision();
             closeAll();
         }
         for (int index = 0; index < changes.changes().size(); index++) {
             retain(changes.changes().get(index), changes.encoded().get(index));
+            if (!complete) {
+                recentChanges.add(
+                        new RecentChange(changes.revision(), changes.encoded().get(index)));
+            }
+        }
+        while (recentChanges.size() > MAX_RECENT_CHANGES) {
+            recentSince = recentChanges.remove().revision();
         }
         revision = changes.revision();
         this.currentAt = currentAt;
@@ -54,6 +70,11 @@
         }
     }
 
+    /** Records that the content was still the newest at a time. The next heartbeat tells the subscribers. */
+    void confirm(Duration newCurrentAt) {
+        currentAt = newCurrentAt;
+    }
+
     private void retain(StoreChange change, String encoded) {
         latestChanges.remove(change.subject());
         boolean removed = change instanceof StoreChange.EntryRemoved || change instanceof StoreChange.EndpointRemoved;
@@ -73,9 +94,13 @@
             return;
         }
         subscribers.add(subscriber);
-        if (revision > knownRevision) {
+        if (knownRevision < recentSince) {
             subscriber.send(FeedProtocol.SNAPSHOT_START);
             latestChanges.values().forEach(encoded -> subscriber.send(FeedProtocol.formatChange(encoded)));
+        } else {
+            recentChanges.stream()
+                    .filter(change -> change.revision() > knownRevision)
+                    .forEach(change -> subscriber.send(FeedProtocol.formatChange(change.encoded())));
         }
         subscriber.send(FeedProtocol.formatBatchEnd(revision, age()));
     }
@@ -85,8 +110,7 @@
         subscribers.remove(subscriber);
     }
 
-    /** Ends the feed and closes the connections of all subscribers. */
-    void closeAll() {
+    private void closeAll() {
         List.copyOf(subscribers).forEach(this::close);
     }
 
@@ -109,7 +133,7 @@
 
     /** Sends an empty batch with the current age to all subscribers when the heartbeat interval has passed. */
     void tick(Duration now) {
-        if (!subscribers.isEmpty() && now.minus(lastSentAt).compareTo(HEARTBEAT_INTERVAL) >= 0) {
+        if (!subscribers.isEmpty() && now.minus(lastSentAt).compareTo(ChangeSources.HEARTBEAT_INTERVAL) >= 0) {
             lastSentAt = now;
             send(List.of());
         }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/TrafficThread.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/TrafficThread.java
@@ -22,10 +22,10 @@
     void publishStoreChanges(boolean complete, StoreChanges changes, Duration currentAt);
 
     /**
-     * Closes the connections of all subscribers of the feed, so that they change to another source. Called when the
-     * store does not respond to this daemon.
+     * Tells the feed that the store had no changes later than those published until the given monotonic time. Takes
+     * effect asynchronously.
      */
-    void closeFeed();
+    void confirmStoreContent(Duration currentAt);
 
     /** Returns the endpoints that do not respond to this daemon. */
     Set<EndpointName> unresponsiveEndpoints();
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionFeedTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionFeedTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.lavenderwick.daemon.session.FeedProtocol;
 import org.lavenderwick.platform.standin.OperatorStandin;
 import org.lavenderwick.platform.standin.SessionClient;
 
@@ -89,10 +90,28 @@
             members.add(fleet.launchDaemon("z1", List.of()));
         }
         fleet.awaitServiceOfAll();
+        // A daemon that has not learned of any other one has no source but the store.
+        for (SessionFleet.Member member : members) {
+            await(() -> knownDaemons(member) == DAEMONS);
+        }
         await(() -> fleet.store().waitingWatches() <= 2);
         return members;
     }
 
+    /** Returns the number of daemons whose entries a daemon has read. */
+    private static long knownDaemons(SessionFleet.Member member) throws IOException {
+        try (SessionClient client = SessionClient.connect(member.peerAddress())) {
+            client.send(FeedProtocol.formatSubscription(-1));
+            long daemons = 0;
+            String line = client.line();
+            while (line != null && FeedProtocol.parseBatchEnd(line).isEmpty()) {
+                daemons += line.contains("lavenderwick/hosts/") ? 1 : 0;
+                line = client.line();
+            }
+            return daemons;
+        }
+    }
+
     /** Configures another database and asserts that all daemons accept sessions for it within the bound. */
     private void assertConfigurationArrivesInTime(int version) throws Exception {
         OperatorStandin.configure(fleet.store(), version, "v" + version, "primary", SessionFleet.GROUP, 1000);
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/fleet/StoreChangeReaderTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/fleet/StoreChangeReaderTest.java
@@ -11,11 +11,14 @@
 import org.junit.jupiter.api.Test;
 import org.lavenderwick.core.error.Failure;
 import org.lavenderwick.core.model.EndpointName;
+import org.lavenderwick.core.propagation.ChangeSources;
 import org.lavenderwick.core.store.FleetStore;
 import org.lavenderwick.core.store.StoreChange;
 import org.lavenderwick.core.store.StoreChanges;
 import org.lavenderwick.core.store.StoreEntry;
 import org.lavenderwick.core.store.StoreWrite;
+import org.lavenderwick.core.time.Backoff;
+import org.lavenderwick.core.time.MonotonicClock;
 import org.lavenderwick.daemon.session.FleetSnapshot;
 import org.lavenderwick.daemon.session.TrafficThread;
 
@@ -23,6 +26,8 @@
 
 class StoreChangeReaderTest {
 
+    private static final Duration MAX_CHANGE_DELAY = Duration.ofSeconds(3);
+
     private static final Duration TEST_DURATION = Duration.ofMillis(2500);
 
     @Test
@@ -38,13 +43,11 @@
     /** Reads a store that has a change for each watch, and returns the number of watches. */
     private static int countWatchesOfBusyStore(boolean immediate) throws InterruptedException {
         BusyStore store = new BusyStore();
-        StoreChangeReader reader = new StoreChangeReader(
-                store,
-                () -> Duration.ofNanos(System.nanoTime()),
-                new IdleTraffic(),
-                List.of(),
-                Duration.ofSeconds(3),
-                new Random(1));
+        MonotonicClock clock = () -> Duration.ofNanos(System.nanoTime());
+        Backoff backoff = Backoff.create(Duration.ofMillis(50), Duration.ofMillis(800), new Random(1));
+        ChangeInbox inbox = new ChangeInbox(
+                ChangeSources.create(MAX_CHANGE_DELAY, backoff, List.of(), clock.now()), clock, new IdleTraffic());
+        StoreChangeReader reader = new StoreChangeReader(store, inbox, clock, MAX_CHANGE_DELAY);
         reader.deliverImmediately(immediate);
         Thread thread = new Thread(reader);
         thread.start();
@@ -67,7 +70,7 @@
         }
 
         @Override
-        public void closeFeed() {
+        public void confirmStoreContent(Duration currentAt) {
             // The test has no subscribers.
         }
 
