--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/propagation/ChangeSources.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/propagation/ChangeSources.java
@@ -16,8 +16,9 @@
  *
  * <p>A daemon uses two sources side by side, so that one that hangs never delays the other: the feed of another daemon,
  * and the store itself. A watcher always reads the store, and has the feed of a watcher in another failure domain for
- * the time in which the store does not respond to it. All other daemons read a feed, and the store only while no feed
- * delivers content that is recent enough.
+ * the time in which the store does not respond to it. All other daemons read a feed. They read the store only while no
+ * feed delivers content that is recent enough, a standby early and a follower as the last resort, because a store that
+ * is down would otherwise get the calls of the whole fleet.
  *
  * <p>Answers this pattern: the store leaves a third of the daemons without any response, watchers among them, while the
  * operator changes the configuration several times a second. Not thread-safe.
@@ -38,7 +39,10 @@
      */
     private static final int MAX_AGE_DIVISOR = 2;
 
-    /** Time without a feed after which a daemon that is no watcher reads the store. Enough to try two other feeds. */
+    /** The maximum change delay is multiplied by this to get the age above which a follower reads the store. */
+    private static final double LAST_RESORT_FACTOR = 0.75;
+
+    /** Time without a feed after which a standby reads the store. Enough to try two other feeds. */
     static final Duration FEED_GRACE = Duration.ofSeconds(1);
 
     /** Time without any content after which a starting daemon reads from the daemons named in its settings. */
@@ -61,6 +65,7 @@
 
     private record Exclusion(Duration failedAt, Duration length) {}
 
+    private final Duration lastResortAge;
     private final Duration confirmationInterval;
     private final Duration maxAge;
     private final Backoff storeBackoff;
@@ -68,13 +73,14 @@
     private final Duration createdAt;
     private final Map<S, Exclusion> exclusions = new HashMap<>();
     private List<S> feeds = ImmutableList.of();
-    private boolean watcher = true;
+    private StoreRole role = StoreRole.WATCHER;
     private boolean feedOpen;
     private Duration feedLostAt;
     private Duration nextStoreReadAt;
     private boolean storeFailing;
 
     private ChangeSources(Duration maxChangeDelay, Backoff storeBackoff, List<S> seeds, Duration createdAt) {
+        this.lastResortAge = Duration.ofNanos((long) (maxChangeDelay.toNanos() * LAST_RESORT_FACTOR));
         this.confirmationInterval = maxChangeDelay.dividedBy(CONFIRMATION_DIVISOR);
         this.maxAge = maxChangeDelay.dividedBy(MAX_AGE_DIVISOR);
         this.storeBackoff = storeBackoff;
@@ -102,8 +108,8 @@
      *
      * @param newFeeds the feeds in the order of preference
      */
-    public void update(boolean isWatcher, List<S> newFeeds) {
-        watcher = isWatcher;
+    public void update(StoreRole newRole, List<S> newFeeds) {
+        role = newRole;
         feeds = ImmutableList.copyOf(newFeeds);
         exclusions.keySet().removeIf(feed -> !feeds.contains(feed) && !seeds.contains(feed));
     }
@@ -197,9 +203,12 @@
     /** Returns how long to wait before the next call to the store; zero or negative if it is due now. */
     public Duration storeDelay(ContentVersion content, Duration now) {
         Duration retry = nextStoreReadAt.minus(now);
-        if (!content.isKnown() || watcher || feeds.isEmpty()) {
+        if (!content.isKnown() || role == StoreRole.WATCHER || feeds.isEmpty()) {
             return retry;
         }
+        if (role == StoreRole.FOLLOWER) {
+            return max(retry, content.currentAt().plus(lastResortAge).minus(now));
+        }
         Duration untilTooOld = content.currentAt().plus(maxAge).minus(now);
         Duration untilFeedMissed =
                 feedOpen ? untilTooOld : feedLostAt.plus(FEED_GRACE).minus(now);
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/propagation/WatcherSelection.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/propagation/WatcherSelection.java
@@ -16,24 +16,31 @@
 import org.lavenderwick.core.model.FailureDomain;
 
 /**
- * The selection of the watchers, which are the daemons that watch the store themselves, and of the feeds from which the
- * other daemons read. Each failure domain has a few watchers. The number of calls to the store thus does not grow with
- * the fleet, and few feeds cross failure domains.
+ * The selection of the daemons that read the store themselves, and of the feeds from which the other daemons read. The
+ * number of calls to the store thus does not grow with the fleet, and few feeds cross failure domains.
  *
- * <p>All watchers form a ring in which neighbours are in different failure domains where possible. A watcher reads the
- * feed of the next one in the ring beside the store. Changes therefore reach a watcher that the store does not respond
- * to through the first one after it in the ring that has access. If no watcher has access, some other daemons do: they
- * turn to the store when the feeds of the watchers are too old, and the rest then turns to them.
+ * <p>Each failure domain has a few heads, from whose feeds its other daemons read. A few of the heads of all failure
+ * domains, spread over these, are the watchers, which watch the store. The other heads read the feed of a watcher, and
+ * the store if no feed is recent enough. All heads form a ring in which neighbours are in different failure domains
+ * where possible. Changes therefore reach a watcher that the store does not respond to through the next one that has
+ * access. If the store responds to none of the heads, some other daemons have access: they turn to the store last, and
+ * the rest then turns to them.
  */
 public final class WatcherSelection {
 
-    /** Maximum number of watchers of a failure domain. The second one immediately replaces a failed first one. */
-    static final int WATCHERS_PER_DOMAIN = 2;
+    /** Minimum number of heads of a failure domain that is large enough. The second one replaces the first one. */
+    static final int MIN_HEADS_PER_DOMAIN = 2;
 
     /**
-     * Number of daemons besides the watchers whose feeds a daemon may read. If the store refuses a third of the fleet,
-     * all of these are refused only once in 6,561 cases.
+     * Number of heads that a fleet has at least if it is large enough. If the store refuses a third of the fleet, all
+     * of these are refused only once in 6,561 cases.
      */
+    static final int MIN_HEADS = 8;
+
+    /** Maximum number of watchers of a fleet. If the store refuses a third of the fleet, one most likely has access. */
+    static final int WATCHERS = 4;
+
+    /** Number of daemons besides the heads whose feeds a daemon may read. */
     static final int OTHER_FEEDS = 8;
 
     private static final HashFunction HASH_FUNCTION = Hashing.murmur3_32_fixed();
@@ -41,10 +48,10 @@
     /**
      * The sources of one daemon.
      *
-     * @param watcher whether the daemon watches the store itself
+     * @param role how the daemon uses the store
      * @param feeds the daemons whose feeds it may read, the preferred one first
      */
-    public record Selection(boolean watcher, List<DaemonName> feeds) {}
+    public record Selection(StoreRole role, List<DaemonName> feeds) {}
 
     private WatcherSelection() {}
 
@@ -59,13 +66,16 @@
         List<DaemonName> ring = ring(daemons, hashes);
         int position = ring.indexOf(daemon);
         List<DaemonName> feeds = new ArrayList<>(ring);
-        if (position >= 0) {
-            Collections.rotate(feeds, -position);
-            feeds.remove(0);
-        } else {
-            // Each watcher is preferred by about as many daemons as any other, first within the failure domain.
+        if (position < 0) {
+            // Each head is preferred by about as many daemons as any other, first within the failure domain.
             Collections.rotate(feeds, Math.floorMod(hashes.get(daemon), Math.max(1, ring.size())));
             feeds.sort(Comparator.comparing(name -> !daemons.get(name).equals(daemons.get(daemon))));
+        } else {
+            // The watchers first, of these the ones in other failure domains, beginning with the next one in the ring.
+            Collections.rotate(feeds, -position);
+            feeds.remove(0);
+            feeds.sort(Comparator.<DaemonName, Boolean>comparing(name -> ring.indexOf(name) >= WATCHERS)
+                    .thenComparing(name -> daemons.get(name).equals(daemons.get(daemon))));
         }
         int own = hashes.get(daemon);
         daemons.keySet().stream()
@@ -74,10 +84,12 @@
                         .thenComparing(Comparator.naturalOrder()))
                 .limit(OTHER_FEEDS)
                 .forEach(feeds::add);
-        return new Selection(position >= 0, ImmutableList.copyOf(feeds));
+        StoreRole role =
+                position < 0 ? StoreRole.FOLLOWER : position < WATCHERS ? StoreRole.WATCHER : StoreRole.STANDBY;
+        return new Selection(role, ImmutableList.copyOf(feeds));
     }
 
-    /** Returns all watchers: the first one of each failure domain, then the second one of each. */
+    /** Returns all heads: the first one of each failure domain, then the second one of each, and so on. */
     private static List<DaemonName> ring(Map<DaemonName, FailureDomain> daemons, Map<DaemonName, Integer> hashes) {
         Map<FailureDomain, List<DaemonName>> byDomain = new TreeMap<>();
         daemons.forEach((name, domain) ->
@@ -86,7 +98,8 @@
                 Comparator.<DaemonName>comparingInt(hashes::get).thenComparing(Comparator.naturalOrder());
         byDomain.values().forEach(names -> names.sort(order));
         List<DaemonName> ring = new ArrayList<>();
-        for (int round = 0; round < WATCHERS_PER_DOMAIN; round++) {
+        int rounds = Math.max(MIN_HEADS_PER_DOMAIN, (MIN_HEADS + byDomain.size() - 1) / byDomain.size());
+        for (int round = 0; round < rounds; round++) {
             for (List<DaemonName> names : byDomain.values()) {
                 if (round < names.size()) {
                     ring.add(names.get(round));
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
@@ -109,7 +109,7 @@
         Acceptor.acceptPeers(loop, settings.peerAddress(), proxy);
         Acceptor.acceptReadinessProbes(
                 loop, settings.readinessAddress(), new ReadinessResponder(new ReadyProbe(), daemon::isReady));
-        control.startThreads();
+        control.startThreads(SessionDaemon::startThread);
         daemon.controlThread = startThread("control", control);
         startThread("traffic", loop);
         LOG.infof("[daemon] %s is serving sessions on %s.", settings.daemon(), settings.callerAddress());
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/ChangeInbox.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/ChangeInbox.java
@@ -10,6 +10,7 @@
 import org.jboss.logging.Logger;
 import org.lavenderwick.core.propagation.ChangeSources;
 import org.lavenderwick.core.propagation.ContentVersion;
+import org.lavenderwick.core.propagation.StoreRole;
 import org.lavenderwick.core.store.StoreChanges;
 import org.lavenderwick.core.time.MonotonicClock;
 import org.lavenderwick.daemon.session.TrafficThread;
@@ -47,8 +48,8 @@
     }
 
     /** Sets the role of this daemon and the feeds that it may read, the preferred one first. */
-    synchronized void setSources(boolean watcher, List<InetSocketAddress> feeds) {
-        sources.update(watcher, feeds);
+    synchronized void setSources(StoreRole role, List<InetSocketAddress> feeds) {
+        sources.update(role, feeds);
         notifyAll();
     }
 
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
@@ -2,11 +2,13 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
 import java.util.random.RandomGenerator;
 
 import com.google.common.collect.ImmutableList;
@@ -42,7 +44,7 @@
     private static final Duration POLL_INTERVAL = Duration.ofMillis(250);
 
     private static final Duration MIN_STORE_BACKOFF = Duration.ofMillis(50);
-    private static final Duration MAX_STORE_BACKOFF = Duration.ofMillis(800);
+    private static final Duration MAX_STORE_BACKOFF = Duration.ofMillis(1600);
 
     /** Number of daemons that may replace the expired lease of the term record; spread over the failure domains. */
     private static final int LEASE_REPLACERS = 10;
@@ -68,7 +70,8 @@
     private final TrafficThread traffic;
     private final EvidenceRenewal renewal;
     private final FleetUpkeep upkeep;
-    private final List<Thread> threads;
+    private final Map<String, Runnable> tasks;
+    private final List<Thread> threads = new ArrayList<>();
     private volatile FleetSnapshot published = FleetSnapshot.EMPTY;
     private volatile List<DaemonName> leaseReplacers = List.of();
     private volatile boolean ownsGroups;
@@ -121,22 +124,20 @@
                 traffic,
                 () -> published,
                 changeReader::deliverImmediately);
-        this.threads = List.of(
-                newThread("store", changeReader),
-                newThread("feed", new FeedReader(inbox, store::decode)),
-                newThread("evidence", renewal),
-                newThread("upkeep", upkeep));
+        this.tasks = Map.of(
+                "store", changeReader,
+                "feed", new FeedReader(inbox, store::decode),
+                "evidence", renewal,
+                "upkeep", upkeep);
     }
 
-    private static Thread newThread(String name, Runnable task) {
-        Thread thread = new Thread(task, name);
-        thread.setDaemon(true);
-        return thread;
-    }
-
-    /** Starts the threads that read changes and make calls. */
-    public void startThreads() {
-        threads.forEach(Thread::start);
+    /**
+     * Starts the threads that read changes and make calls.
+     *
+     * @param starter starts a thread of the given name that runs the given task
+     */
+    public void startThreads(BiFunction<String, Runnable, Thread> starter) {
+        tasks.forEach((name, task) -> threads.add(starter.apply(name, task)));
     }
 
     /** Interrupts the threads that read changes and make calls. */
@@ -233,7 +234,7 @@
         WatcherSelection.Selection selection =
                 WatcherSelection.select(daemon, Maps.transformValues(daemons, Peer::failureDomain));
         inbox.setSources(
-                selection.watcher(),
+                selection.role(),
                 selection.feeds().stream()
                         .map(name -> daemons.get(name).address())
                         .collect(ImmutableList.toImmutableList()));
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerConnection.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerConnection.java
@@ -205,6 +205,12 @@
         }
     }
 
+    /** Closes the session without a response, because its state is unknown after an unexpected error. */
+    void abort() {
+        line.close();
+        onClosed("the daemon closed the session after an unexpected error");
+    }
+
     /** Closes the session if it has neither a running statement nor a transaction. */
     void closeIfIdle() {
         if (localSession != null) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EventLoop.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EventLoop.java
@@ -56,6 +56,7 @@
     private Ticker ticker = now -> false;
     private Runnable wakeupAction = () -> {};
     private Duration now;
+    private boolean tickPending;
     private volatile boolean stopped;
 
     private EventLoop(Selector selector, MonotonicClock clock) {
@@ -130,11 +131,14 @@
                 return;
             }
             now = clock.now();
-            wakeupAction.run();
+            runGuarded("the check at wakeup", wakeupAction);
             runTasks();
             handleReady();
             if (now.compareTo(nextTick) >= 0 || !timeoutsPending) {
-                timeoutsPending = ticker.tick(now);
+                // After a failed tick the next one is due as if timeouts were pending, because nothing is known.
+                tickPending = true;
+                runGuarded("a tick", () -> tickPending = ticker.tick(now));
+                timeoutsPending = tickPending;
                 nextTick = now.plus(timeoutsPending ? TICK_INTERVAL : IDLE_TICK_INTERVAL);
             }
             flush();
@@ -159,7 +163,19 @@
 
     private void runTasks() {
         for (Runnable task = tasks.poll(); task != null; task = tasks.poll()) {
-            task.run();
+            runGuarded("a task", task);
+        }
+    }
+
+    /**
+     * Runs an action. An unexpected error is logged and ends only that action: all sessions of the daemon depend on
+     * this loop, so a single message must not end it.
+     */
+    private static void runGuarded(String description, Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException e) {
+            LOG.errorf(e, "[session] The event loop continues after an unexpected error in %s.", description);
         }
     }
 
@@ -172,7 +188,10 @@
                     handler.onReady(key);
                 }
             } catch (IOException e) {
-                handler.onFailure(e.getMessage());
+                runGuarded("the handling of a failed channel", () -> handler.onFailure(e.getMessage()));
+            } catch (RuntimeException e) {
+                LOG.errorf(e, "[session] Closing a channel after an unexpected error in the handling of its events.");
+                runGuarded("the handling of a failed channel", () -> handler.onFailure("an unexpected error: " + e));
             }
         }
         selected.clear();
@@ -182,7 +201,7 @@
         while (!connectionsToFlush.isEmpty()) {
             List<LineConnection> batch = new ArrayList<>(connectionsToFlush);
             connectionsToFlush.clear();
-            batch.forEach(LineConnection::flush);
+            batch.forEach(connection -> runGuarded("a flush", connection::flush));
         }
     }
 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
@@ -235,13 +235,33 @@
         }
     }
 
+    /** Runs the tick of one group; an unexpected error in it must not keep those of the others from running. */
+    private static boolean tick(GroupDispatcher dispatcher) {
+        try {
+            return dispatcher.tick();
+        } catch (RuntimeException e) {
+            LOG.errorf(e, "[session] Continuing after an unexpected error in the tick of a group.");
+            return true;
+        }
+    }
+
+    /** Checks the timeouts of one session; an unexpected error in it must not keep those of the others from passing. */
+    private static void checkTimeouts(CallerConnection session, Duration now, Duration transactionIdleTimeout) {
+        try {
+            session.checkTimeouts(now, transactionIdleTimeout);
+        } catch (RuntimeException e) {
+            LOG.errorf(e, "[session] Closing a session after an unexpected error in the check of its timeouts.");
+            session.abort();
+        }
+    }
+
     @Override
     public boolean tick(Duration now) {
         boolean hasPending = false;
         boolean hasWork = false;
         ImmutableSet.Builder<EndpointName> unresponsive = ImmutableSet.builder();
         for (GroupDispatcher dispatcher : dispatchers.values()) {
-            hasPending |= dispatcher.tick();
+            hasPending |= tick(dispatcher);
             hasWork |= dispatcher.isBusy();
             unresponsive.addAll(dispatcher.unresponsiveEndpoints());
         }
@@ -249,7 +269,7 @@
         busy = hasWork;
         Duration transactionIdleTimeout =
                 snapshot.catalog().map(Catalog::transactionIdleTimeout).orElse(DEFAULT_IDLE_TIMEOUT);
-        List.copyOf(sessions).forEach(session -> session.checkTimeouts(now, transactionIdleTimeout));
+        List.copyOf(sessions).forEach(session -> checkTimeouts(session, now, transactionIdleTimeout));
         if (drain != null) {
             drain.tick(now, sessions);
         }
