Let followers have others confirm the renewal of the term record's lease

Only a daemon's own renewals are confirmed. Status requests to endpoints start at an evidence age of 700 ms instead of 600.

Tests: FailoverSafetyTest has confirmations with messages of up to 3 s and suspensions before and after the statement; without counting from the request it fails. SessionFeedTest counts the renewals of 12 daemons.

--- /dev/null
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/LeaseConfirmation.java
@@ -0,0 +1,13 @@
+package org.lavenderwick.core.failover;
+
+import java.time.Duration;
+
+/**
+ * The statement of a daemon that it has renewed a lease itself, made in response to another daemon's request. The other
+ * daemon counts the age from the time at which it sent the request, so the time that the messages take only makes the
+ * evidence look older than it is.
+ *
+ * @param lease the lease that was renewed
+ * @param age time between sending the renewal and making this statement
+ */
+public record LeaseConfirmation(long lease, Duration age) {}
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/LeaseEvidence.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/LeaseEvidence.java
@@ -11,13 +11,23 @@
  * Evidence from renewals of the lease of the term record. The lease is revoked before an open term is replaced, so a
  * successful renewal proves that the record was current when the renewal was sent.
  *
+ * <p>A daemon may also let another one confirm a renewal, so that in a large fleet not every daemon renews the lease.
+ *
  * <p>A new record with another lease removes the evidence only of the groups whose open term it changes. Thread-safe.
  */
 public final class LeaseEvidence {
 
+    /**
+     * Time by which a confirmation may be older than the confirming daemon says: its clock stops while its host is
+     * suspended, and shorter suspensions than this are not detected.
+     */
+    private static final Duration CONFIRMATION_MARGIN = Duration.ofMillis(150);
+
     private TermRecord record = TermRecord.EMPTY;
     private long revision;
     private final Map<GroupName, ProvenPrimary> views = new HashMap<>();
+    private long ownRenewedLease;
+    private Duration ownRenewalSentAt;
 
     private LeaseEvidence() {}
 
@@ -45,6 +55,34 @@
 
     /** Records the successful renewal of a lease; ignored if it is not the lease of the current record. */
     public synchronized void onRenewed(long lease, Duration sentAt) {
+        ownRenewedLease = lease;
+        ownRenewalSentAt = sentAt;
+        prove(lease, sentAt);
+    }
+
+    /**
+     * Records the confirmation by another daemon; ignored if it is not for the lease of the current record.
+     *
+     * @param requestedAt when the request for the confirmation was sent
+     */
+    public synchronized void onConfirmed(LeaseConfirmation confirmation, Duration requestedAt) {
+        prove(confirmation.lease(), requestedAt.minus(confirmation.age()).minus(CONFIRMATION_MARGIN));
+    }
+
+    /**
+     * Returns the confirmation that this daemon can give to another one. Only a renewal of its own counts, so that
+     * confirmations are not passed on from one to the next.
+     *
+     * @param discardedUntil time until which all evidence was discarded
+     * @return empty if there was no renewal after that time
+     */
+    public synchronized Optional<LeaseConfirmation> confirmation(Duration now, Duration discardedUntil) {
+        return ownRenewalSentAt == null || ownRenewalSentAt.compareTo(discardedUntil) <= 0
+                ? Optional.empty()
+                : Optional.of(new LeaseConfirmation(ownRenewedLease, now.minus(ownRenewalSentAt)));
+    }
+
+    private void prove(long lease, Duration sentAt) {
         if (lease != record.lease()) {
             return;
         }
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/propagation/WatcherSelection.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/propagation/WatcherSelection.java
@@ -40,6 +40,9 @@
     /** Maximum number of watchers of a fleet. If the store refuses a third of the fleet, one most likely has access. */
     static final int WATCHERS = 4;
 
+    /** Maximum number of watchers of a failure domain. */
+    static final int MAX_WATCHERS_PER_DOMAIN = 2;
+
     /** Number of daemons besides the heads whose feeds a daemon may read. */
     static final int OTHER_FEEDS = 8;
 
@@ -64,6 +67,8 @@
         Map<DaemonName, Integer> hashes = new HashMap<>();
         daemons.keySet().forEach(name -> hashes.put(name, hash(name)));
         List<DaemonName> ring = ring(daemons, hashes);
+        long domains = daemons.values().stream().distinct().count();
+        long watchers = Math.min(WATCHERS, MAX_WATCHERS_PER_DOMAIN * domains);
         int position = ring.indexOf(daemon);
         List<DaemonName> feeds = new ArrayList<>(ring);
         if (position < 0) {
@@ -74,7 +79,7 @@
             // The watchers first, of these the ones in other failure domains, beginning with the next one in the ring.
             Collections.rotate(feeds, -position);
             feeds.remove(0);
-            feeds.sort(Comparator.<DaemonName, Boolean>comparing(name -> ring.indexOf(name) >= WATCHERS)
+            feeds.sort(Comparator.<DaemonName, Boolean>comparing(name -> ring.indexOf(name) >= watchers)
                     .thenComparing(name -> daemons.get(name).equals(daemons.get(daemon))));
         }
         int own = hashes.get(daemon);
@@ -85,7 +90,7 @@
                 .limit(OTHER_FEEDS)
                 .forEach(feeds::add);
         StoreRole role =
-                position < 0 ? StoreRole.FOLLOWER : position < WATCHERS ? StoreRole.WATCHER : StoreRole.STANDBY;
+                position < 0 ? StoreRole.FOLLOWER : position < watchers ? StoreRole.WATCHER : StoreRole.STANDBY;
         return new Selection(role, ImmutableList.copyOf(feeds));
     }
 
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/FailoverSafetyTest.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/FailoverSafetyTest.java
@@ -36,6 +36,7 @@
      * @param checksConnectionAge whether daemons ignore the reports of endpoints that restarted recently
      * @param detectsSuspension whether a daemon discards its evidence after it was suspended
      * @param rechecksEvidence whether a daemon checks the evidence again before it acknowledges a write
+     * @param datesConfirmations whether a daemon counts the age of a confirmation from its request for it
      */
     record Safeguards(
             FailoverTimings timings,
@@ -43,10 +44,11 @@
             boolean respectsPromises,
             boolean checksConnectionAge,
             boolean detectsSuspension,
-            boolean rechecksEvidence) {
+            boolean rechecksEvidence,
+            boolean datesConfirmations) {
 
         static Safeguards all() {
-            return new Safeguards(FailoverTimings.DEFAULTS, true, true, true, true, true);
+            return new Safeguards(FailoverTimings.DEFAULTS, true, true, true, true, true, true);
         }
     }
 
@@ -64,6 +66,8 @@
             daemons.add(daemon);
             daemon.start();
         }
+        daemons.forEach(daemon ->
+                daemon.setPeers(daemons.stream().filter(peer -> peer != daemon).toList()));
         injectFaults(simulation, random, store, group, daemons);
         simulation.runUntil(DURATION_MILLIS);
         String violation = daemons.stream()
@@ -179,32 +183,37 @@
                     defaults.promiseTimeout(),
                     defaults.promiseGracePeriod(),
                     defaults.catchUpTimeout());
-            assertUnsafe(new Safeguards(withoutWait, true, true, true, true, true));
+            assertUnsafe(new Safeguards(withoutWait, true, true, true, true, true, true));
         }
 
         @Test
         void leaseRevocation() {
-            assertUnsafe(new Safeguards(FailoverTimings.DEFAULTS, false, true, true, true, true));
+            assertUnsafe(new Safeguards(FailoverTimings.DEFAULTS, false, true, true, true, true, true));
         }
 
         @Test
         void promisesOfEndpoints() {
-            assertUnsafe(new Safeguards(FailoverTimings.DEFAULTS, true, false, true, true, true));
+            assertUnsafe(new Safeguards(FailoverTimings.DEFAULTS, true, false, true, true, true, true));
         }
 
         @Test
         void connectionAge() {
-            assertUnsafe(new Safeguards(FailoverTimings.DEFAULTS, true, true, false, true, true));
+            assertUnsafe(new Safeguards(FailoverTimings.DEFAULTS, true, true, false, true, true, true));
         }
 
         @Test
         void suspensionDetection() {
-            assertUnsafe(new Safeguards(FailoverTimings.DEFAULTS, true, true, true, false, true));
+            assertUnsafe(new Safeguards(FailoverTimings.DEFAULTS, true, true, true, false, true, true));
         }
 
         @Test
         void evidenceCheckBeforeAcknowledgement() {
-            assertUnsafe(new Safeguards(FailoverTimings.DEFAULTS, true, true, true, true, false));
+            assertUnsafe(new Safeguards(FailoverTimings.DEFAULTS, true, true, true, true, false, true));
+        }
+
+        @Test
+        void dateOfConfirmations() {
+            assertUnsafe(new Safeguards(FailoverTimings.DEFAULTS, true, true, true, true, true, false));
         }
     }
 }
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SimulatedDaemon.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SimulatedDaemon.java
@@ -31,6 +31,7 @@
     private Duration evidenceDiscardedAt = Duration.ofSeconds(-1);
     private FailoverRun run;
     private String violation = "";
+    private List<SimulatedDaemon> peers = List.of();
 
     SimulatedDaemon(
             Simulation simulation,
@@ -49,6 +50,11 @@
         return violation;
     }
 
+    /** Sets the daemons that confirm renewals to this one. */
+    void setPeers(List<SimulatedDaemon> daemons) {
+        peers = List.copyOf(daemons);
+    }
+
     void setStoreReachable(boolean reachable) {
         storeReachable = reachable;
     }
@@ -84,6 +90,7 @@
 
     void start() {
         every(300, this::renew);
+        every(250, this::requestConfirmation);
         every(400, this::requestReports);
         every(70, this::write);
         every(250, this::advance);
@@ -125,6 +132,25 @@
         });
     }
 
+    /** Returns the time that a message between daemons takes; some connections stall. */
+    private long messageMillis() {
+        return random.nextLong(random.nextInt(5) == 0 ? 3000 : 200);
+    }
+
+    /** Asks another daemon, which may be suspended before or after it has made its statement. */
+    private void requestConfirmation() {
+        SimulatedDaemon peer = peers.get(random.nextInt(peers.size()));
+        Duration requestedAt = clock();
+        simulation.schedule(
+                messageMillis(),
+                () -> peer.whenRunning(() -> peer.evidence
+                        .confirmation(peer.clock(), peer.evidenceDiscardedAt)
+                        .ifPresent(confirmation -> simulation.schedule(
+                                messageMillis(),
+                                () -> whenRunning(() -> evidence.onConfirmed(
+                                        confirmation, safeguards.datesConfirmations() ? requestedAt : clock()))))));
+    }
+
     private void install(StoreEntry entry) {
         TermRecordCodec.decode(entry.value()).peek(record -> evidence.install(record, entry.revision()));
     }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FeedReader.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FeedReader.java
@@ -19,15 +19,18 @@
 
     private final ChangeInbox inbox;
     private final Function<String, Optional<StoreChange>> decoder;
+    private final LeaseConfirmations confirmations;
 
     /**
      * Creates a reader.
      *
      * @param decoder decodes a change that another daemon forwarded
+     * @param confirmations uses the feed that is being read
      */
-    FeedReader(ChangeInbox inbox, Function<String, Optional<StoreChange>> decoder) {
+    FeedReader(ChangeInbox inbox, Function<String, Optional<StoreChange>> decoder, LeaseConfirmations confirmations) {
         this.inbox = inbox;
         this.decoder = decoder;
+        this.confirmations = confirmations;
     }
 
     @Override
@@ -48,7 +51,8 @@
 
     /** Reads a feed until it fails, is too old, or another feed is preferred. */
     private void read(InetSocketAddress source) {
-        try (PeerFeed feed = PeerFeed.open(source, inbox.revision(), decoder)) {
+        try (PeerFeed feed = PeerFeed.open(source, inbox.revision(), decoder, confirmations::onConfirmed)) {
+            confirmations.onFeedOpened(feed);
             while (inbox.isPreferredFeed(source) && !Thread.currentThread().isInterrupted()) {
                 if (!inbox.deliverFromFeed(source, feed.nextBatch(inbox.feedTimeout()))) {
                     throw new IOException("its content is too old");
@@ -59,6 +63,8 @@
             // An unexpected error of one feed must not end this thread: another feed may be sound.
             LOG.debugf("[fleet] Stopped reading store changes from the daemon at %s: %s.", source, e);
             inbox.onFeedFailed(source);
+        } finally {
+            confirmations.onFeedClosed();
         }
     }
 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
@@ -22,6 +22,7 @@
 import org.lavenderwick.core.model.DaemonName;
 import org.lavenderwick.core.model.GroupName;
 import org.lavenderwick.core.propagation.ChangeSources;
+import org.lavenderwick.core.propagation.StoreRole;
 import org.lavenderwick.core.propagation.WatcherSelection;
 import org.lavenderwick.core.store.FleetStore;
 import org.lavenderwick.core.store.StoreChange;
@@ -74,6 +75,7 @@
     private final List<Thread> threads = new ArrayList<>();
     private volatile FleetSnapshot published = FleetSnapshot.EMPTY;
     private volatile List<DaemonName> leaseReplacers = List.of();
+    private volatile StoreRole role = StoreRole.WATCHER;
     private volatile boolean ownsGroups;
 
     /**
@@ -109,8 +111,16 @@
                 traffic);
         StoreChangeReader changeReader = new StoreChangeReader(store, inbox, clock, maxChangeDelay);
         this.terms = new TermRecordManager(store, clock);
+        LeaseConfirmations confirmations = new LeaseConfirmations();
         this.renewal = new EvidenceRenewal(
-                terms, () -> ownsGroups || traffic.isBusy(), this::leaseReplacementDelay, () -> publish(false));
+                terms,
+                confirmations,
+                clock,
+                () -> role == StoreRole.FOLLOWER,
+                () -> ownsGroups || traffic.isBusy(),
+                this::leaseReplacementDelay,
+                () -> publish(false));
+        traffic.confirmLeasesWith(renewal::confirm);
         this.upkeep = new FleetUpkeep(
                 daemon,
                 self,
@@ -126,7 +136,7 @@
                 changeReader::deliverImmediately);
         this.tasks = Map.of(
                 "store", changeReader,
-                "feed", new FeedReader(inbox, store::decode),
+                "feed", new FeedReader(inbox, store::decode, confirmations),
                 "evidence", renewal,
                 "upkeep", upkeep);
     }
@@ -233,6 +243,7 @@
         daemons.put(daemon, self);
         WatcherSelection.Selection selection =
                 WatcherSelection.select(daemon, Maps.transformValues(daemons, Peer::failureDomain));
+        role = selection.role();
         inbox.setSources(
                 selection.role(),
                 selection.feeds().stream()
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/PeerFeed.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/PeerFeed.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 import org.lavenderwick.core.store.StoreChange;
@@ -33,31 +34,53 @@
     private final Socket socket;
     private final BufferedReader reader;
     private final Function<String, Optional<StoreChange>> decoder;
+    private final Consumer<FeedProtocol.Confirmed> onConfirmed;
 
-    private PeerFeed(Socket socket, BufferedReader in, Function<String, Optional<StoreChange>> decoder) {
+    private PeerFeed(
+            Socket socket,
+            BufferedReader in,
+            Function<String, Optional<StoreChange>> decoder,
+            Consumer<FeedProtocol.Confirmed> onConfirmed) {
         this.socket = socket;
         this.reader = in;
         this.decoder = decoder;
+        this.onConfirmed = onConfirmed;
     }
 
-    /** Connects to a peer and subscribes to all changes after the given revision, including future ones. */
-    static PeerFeed open(InetSocketAddress peer, long afterRevision, Function<String, Optional<StoreChange>> decoder)
+    /**
+     * Connects to a peer and subscribes to all changes after the given revision, including future ones.
+     *
+     * @param onConfirmed receives the confirmations of the peer while {@link #nextBatch} runs
+     */
+    static PeerFeed open(
+            InetSocketAddress peer,
+            long afterRevision,
+            Function<String, Optional<StoreChange>> decoder,
+            Consumer<FeedProtocol.Confirmed> onConfirmed)
             throws IOException {
         Socket socket = new Socket();
         try {
             socket.connect(peer, (int) CONNECT_TIMEOUT.toMillis());
-            socket.getOutputStream()
-                    .write((FeedProtocol.formatSubscription(afterRevision) + "\r\n")
-                            .getBytes(StandardCharsets.ISO_8859_1));
+            socket.setTcpNoDelay(true);
+            send(socket, FeedProtocol.formatSubscription(afterRevision));
             BufferedReader in =
                     new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
-            return new PeerFeed(socket, in, decoder);
+            return new PeerFeed(socket, in, decoder, onConfirmed);
         } catch (IOException e) {
             socket.close();
             throw e;
         }
     }
 
+    private static void send(Socket socket, String line) throws IOException {
+        socket.getOutputStream().write((line + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** Requests a confirmation from the peer. May be called from any thread. */
+    void requestConfirmation(long request) throws IOException {
+        send(socket, FeedProtocol.formatConfirmationRequest(request));
+    }
+
     /**
      * Waits for the next batch of changes and returns it; fails if the feed ends or breaks the protocol.
      *
@@ -73,6 +96,11 @@
             if (line == null) {
                 throw new IOException("the peer closed the feed");
             }
+            Optional<FeedProtocol.Confirmed> confirmed = FeedProtocol.parseConfirmed(line);
+            if (confirmed.isPresent()) {
+                onConfirmed.accept(confirmed.get());
+                continue;
+            }
             Optional<String> text = FeedProtocol.parseChange(line);
             Optional<FeedProtocol.BatchEnd> end = FeedProtocol.parseBatchEnd(line);
             if (line.equals(FeedProtocol.SNAPSHOT_START)) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/TermRecordManager.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/TermRecordManager.java
@@ -9,6 +9,7 @@
 import org.lavenderwick.core.error.Failure;
 import org.lavenderwick.core.failover.FailoverTimings;
 import org.lavenderwick.core.failover.GroupTerm;
+import org.lavenderwick.core.failover.LeaseConfirmation;
 import org.lavenderwick.core.failover.LeaseEvidence;
 import org.lavenderwick.core.failover.TermLease;
 import org.lavenderwick.core.failover.TermRecord;
@@ -34,6 +35,9 @@
     /** Maximum delay after a renewal without a response; the time for which evidence is valid. */
     private static final Duration MAX_RETRY_DELAY = FailoverTimings.DEFAULTS.evidenceMaxAge();
 
+    /** Age above which a confirmation is not accepted; with it, evidence would soon be too old. */
+    private static final Duration MAX_CONFIRMATION_AGE = Duration.ofMillis(400);
+
     private final FleetStore store;
     private final TermRecordStore records;
     private final MonotonicClock clock;
@@ -99,6 +103,21 @@
         }
     }
 
+    /**
+     * Records the confirmation of a renewal by another daemon, and returns whether it proves the current record: it
+     * must be for the lease of that record and recent enough to be of use.
+     *
+     * @param requestedAt when it was requested
+     */
+    boolean onConfirmed(LeaseConfirmation confirmation, Duration requestedAt) {
+        boolean useful = confirmation.lease() == evidence.record().lease()
+                && confirmation.age().compareTo(MAX_CONFIRMATION_AGE) <= 0;
+        if (useful) {
+            evidence.onConfirmed(confirmation, requestedAt);
+        }
+        return useful;
+    }
+
     /** Returns whether this daemon has found the lease of the current term record to be expired. */
     boolean isLeaseExpired() {
         return evidence.revision() != 0 && evidence.record().lease() == expiredLease;
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/FeedProtocol.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/FeedProtocol.java
@@ -6,12 +6,16 @@
 
 import com.google.common.base.Splitter;
 import com.google.common.primitives.Longs;
+import org.lavenderwick.core.failover.LeaseConfirmation;
 
 /**
  * The line protocol in which a daemon sends store changes to other daemons. A subscriber sends the store revision that
  * it has. The first batch holds the changes since then, or the whole content of the store if the sender no longer has
  * these changes. Each later batch holds the changes since the one before. Every batch, even an empty one, ends with a
  * line that carries its revision and age.
+ *
+ * <p>A subscriber may ask the sender to confirm the lease of the term record. Requests are numbered, so that a late
+ * response is not taken for the response to a later request.
  */
 public final class FeedProtocol {
 
@@ -26,6 +30,12 @@
 
     private static final int BATCH_END_WORDS = 3;
 
+    private static final String CONFIRM_PREFIX = "CONFIRM ";
+
+    private static final String CONFIRMED_PREFIX = "CONFIRMED ";
+
+    private static final int CONFIRMED_WORDS = 4;
+
     /**
      * The line that ends a batch.
      *
@@ -75,4 +85,42 @@
                 ? Optional.empty()
                 : Optional.of(new BatchEnd(revision, Duration.ofMillis(millis)));
     }
+
+    /** The response to a request for a confirmation, with the number of the request. */
+    public record Confirmed(long request, LeaseConfirmation confirmation) {}
+
+    /** Returns the line that requests a confirmation. */
+    public static String formatConfirmationRequest(long request) {
+        return CONFIRM_PREFIX + request;
+    }
+
+    /** Returns the number of a request for a confirmation; empty if the line is not a valid one. */
+    static Optional<Long> parseConfirmationRequest(String line) {
+        return line.startsWith(CONFIRM_PREFIX)
+                ? Optional.ofNullable(Longs.tryParse(line.substring(CONFIRM_PREFIX.length())))
+                : Optional.empty();
+    }
+
+    /** Returns the line that carries a confirmation; its age is sent in milliseconds, rounded up. */
+    static String formatConfirmed(long request, LeaseConfirmation confirmation) {
+        return CONFIRMED_PREFIX + request + " " + confirmation.lease() + " "
+                + (confirmation.age().toMillis() + 1);
+    }
+
+    /** Returns the parsed confirmation; empty if the line is not a valid one. */
+    public static Optional<Confirmed> parseConfirmed(String line) {
+        if (!line.startsWith(CONFIRMED_PREFIX)) {
+            return Optional.empty();
+        }
+        List<String> words = Splitter.on(' ').splitToList(line);
+        if (words.size() != CONFIRMED_WORDS) {
+            return Optional.empty();
+        }
+        Long request = Longs.tryParse(words.get(1));
+        Long lease = Longs.tryParse(words.get(2));
+        Long millis = Longs.tryParse(words.get(CONFIRMED_WORDS - 1));
+        return request == null || lease == null || millis == null || millis < 0
+                ? Optional.empty()
+                : Optional.of(new Confirmed(request, new LeaseConfirmation(lease, Duration.ofMillis(millis))));
+    }
 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/IncomingPeerConnection.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/IncomingPeerConnection.java
@@ -3,8 +3,8 @@
 import java.util.Optional;
 
 /**
- * A connection accepted from another daemon. Its first line either subscribes to the feed of store changes or opens a
- * relayed session. Confined to the traffic thread.
+ * A connection accepted from another daemon. Its first line either subscribes to the feed of store changes, on which
+ * confirmations may then be requested, or opens a relayed session. Confined to the traffic thread.
  */
 final class IncomingPeerConnection implements LineConnection.Listener {
 
@@ -35,9 +35,12 @@
             return;
         }
         Optional<Long> knownRevision = FeedProtocol.parseSubscription(text);
+        Optional<Long> confirmation = FeedProtocol.parseConfirmationRequest(text);
         Optional<RelayProtocol.Origin> opened = RelayProtocol.parse(text);
         if (knownRevision.isPresent()) {
             feed.subscribe(line, knownRevision.get());
+        } else if (confirmation.isPresent()) {
+            feed.confirmLease(line, confirmation.get());
         } else if (opened.isPresent()) {
             origin = opened;
         } else {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.BiFunction;
 import java.util.random.RandomGenerator;
 
 import com.google.common.collect.ImmutableSet;
@@ -22,6 +23,7 @@
 import org.lavenderwick.core.catalog.DatabaseRoute;
 import org.lavenderwick.core.error.ErrorKind;
 import org.lavenderwick.core.error.Failure;
+import org.lavenderwick.core.failover.LeaseConfirmation;
 import org.lavenderwick.core.failover.ProvenPrimary;
 import org.lavenderwick.core.model.DaemonName;
 import org.lavenderwick.core.model.EndpointName;
@@ -54,6 +56,7 @@
     private final Map<GroupName, GroupDispatcher> dispatchers = new HashMap<>();
     private final Set<CallerConnection> sessions = new HashSet<>();
     private FleetSnapshot snapshot = FleetSnapshot.EMPTY;
+    private Duration evidenceDiscardedUntil = Duration.ofSeconds(-1);
     private SessionDrain drain;
     private volatile Set<EndpointName> unresponsiveEndpoints = ImmutableSet.of();
     private volatile boolean busy;
@@ -213,6 +216,11 @@
         loop.execute(() -> feed.confirm(currentAt));
     }
 
+    @Override
+    public void confirmLeasesWith(BiFunction<Duration, Duration, Optional<LeaseConfirmation>> source) {
+        loop.execute(() -> feed.confirmWith(() -> source.apply(loop.now(), evidenceDiscardedUntil)));
+    }
+
     @Override
     public Set<EndpointName> unresponsiveEndpoints() {
         return unresponsiveEndpoints;
@@ -231,6 +239,7 @@
     private void checkForClockJump() {
         if (clockJumpDetector.hasJumped()) {
             LOG.warn("[session] The clocks of the host parted; evidence of terms is discarded and collected again.");
+            evidenceDiscardedUntil = loop.now();
             dispatchers.values().forEach(GroupDispatcher::discardEvidence);
         }
     }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/StatusRequester.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/StatusRequester.java
@@ -24,7 +24,7 @@
      * Status requests are sent once the newest evidence has this age. The term record is renewed several times within
      * this time, so requests are only sent after several renewals have failed.
      */
-    private static final Duration REQUEST_EVIDENCE_AGE = Duration.ofMillis(600);
+    private static final Duration REQUEST_EVIDENCE_AGE = Duration.ofMillis(700);
 
     /** Minimum time between two rounds of status requests. */
     private static final Duration REQUEST_INTERVAL = Duration.ofMillis(300);
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/StoreFeed.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/StoreFeed.java
@@ -7,8 +7,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 
+import org.lavenderwick.core.failover.LeaseConfirmation;
 import org.lavenderwick.core.propagation.ChangeSources;
 import org.lavenderwick.core.store.StoreChange;
 import org.lavenderwick.core.store.StoreChanges;
@@ -33,6 +36,7 @@
     private long revision = -1;
     private long recentSince = -1;
     private Duration currentAt;
+    private Supplier<Optional<LeaseConfirmation>> confirmations = Optional::empty;
     private Duration lastSentAt = Duration.ZERO;
 
     StoreFeed(EventLoop loop) {
@@ -105,6 +109,18 @@
         subscriber.send(FeedProtocol.formatBatchEnd(revision, age()));
     }
 
+    /** Sets the source of the confirmations that subscribers request. */
+    void confirmWith(Supplier<Optional<LeaseConfirmation>> source) {
+        confirmations = source;
+    }
+
+    /** Responds to a request for a confirmation; no response means that there is none. */
+    void confirmLease(LineConnection subscriber, long request) {
+        confirmations
+                .get()
+                .ifPresent(confirmation -> subscriber.send(FeedProtocol.formatConfirmed(request, confirmation)));
+    }
+
     /** Removes a subscriber without closing its connection. */
     void unsubscribe(LineConnection subscriber) {
         subscribers.remove(subscriber);
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/TrafficThread.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/TrafficThread.java
@@ -1,8 +1,11 @@
 package org.lavenderwick.daemon.session;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiFunction;
 
+import org.lavenderwick.core.failover.LeaseConfirmation;
 import org.lavenderwick.core.model.EndpointName;
 import org.lavenderwick.core.store.StoreChanges;
 
@@ -27,6 +30,12 @@
      */
     void confirmStoreContent(Duration currentAt);
 
+    /**
+     * Sets the source of the confirmations that other daemons request from this one. The source gets the current time
+     * and the time until which all evidence was discarded.
+     */
+    void confirmLeasesWith(BiFunction<Duration, Duration, Optional<LeaseConfirmation>> source);
+
     /** Returns the endpoints that do not respond to this daemon. */
     Set<EndpointName> unresponsiveEndpoints();
 
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionFeedTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionFeedTest.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -20,6 +21,13 @@
 
     private static final int DAEMONS = 5;
 
+    private static final int LARGE_FLEET = 12;
+
+    private static final int MAX_WATCHERS = 2;
+
+    /** Daemons of a fleet in one failure domain that renew the lease of the term record themselves. */
+    private static final int MAX_HEADS = 8;
+
     private SessionFleet fleet;
 
     @BeforeEach
@@ -72,6 +80,37 @@
         }
     }
 
+    /** Guards against calls to the store that grow with the fleet, and against followers without evidence. */
+    @Test
+    void followersLetOthersConfirmTheirLeaseRenewals() throws Exception {
+        for (int index = 0; index < LARGE_FLEET; index++) {
+            fleet.launchDaemon("z1", List.of());
+        }
+        fleet.awaitServiceOfAll();
+        await(() -> fleet.store().waitingWatches() <= MAX_WATCHERS);
+        List<Integer> before = renewals();
+        for (int round = 0; round < 10; round++) {
+            for (SessionFleet.Member member : fleet.members()) {
+                try (SessionClient client = SessionClient.open(member.address(), SessionFleet.DATABASE)) {
+                    assertThat(SessionFleet.succeeded(client.query("WRITE a " + round)))
+                            .isTrue();
+                }
+            }
+            Thread.sleep(300);
+        }
+        List<Integer> after = renewals();
+        long withFewRenewals = IntStream.range(0, LARGE_FLEET)
+                .filter(index -> after.get(index) - before.get(index) <= 5)
+                .count();
+        assertThat(withFewRenewals).isGreaterThanOrEqualTo(LARGE_FLEET - MAX_HEADS);
+    }
+
+    private List<Integer> renewals() {
+        return fleet.members().stream()
+                .map(member -> member.storeDoor().renewals())
+                .toList();
+    }
+
     @Test
     void daemonStartedWhileTheStoreIsDownReadsFromASeed() throws Exception {
         SessionFleet.Member first = fleet.startDaemon();
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/fleet/StoreChangeReaderTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/fleet/StoreChangeReaderTest.java
@@ -6,10 +6,12 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiFunction;
 
 import io.vavr.control.Either;
 import org.junit.jupiter.api.Test;
 import org.lavenderwick.core.error.Failure;
+import org.lavenderwick.core.failover.LeaseConfirmation;
 import org.lavenderwick.core.model.EndpointName;
 import org.lavenderwick.core.propagation.ChangeSources;
 import org.lavenderwick.core.store.FleetStore;
@@ -74,6 +76,11 @@
             // The test has no subscribers.
         }
 
+        @Override
+        public void confirmLeasesWith(BiFunction<Duration, Duration, Optional<LeaseConfirmation>> source) {
+            // No other daemon asks.
+        }
+
         @Override
         public Set<EndpointName> unresponsiveEndpoints() {
             return Set.of();
