Move this change's decisions to the core; mend what its reading found

Cause of each fault, all from: - A confirmation took its age from the time at which the loop's iteration had begun, so a renewal dated since gave a negative age, which the reader of the feed refuses and leaves the feed; and a suspension within an iteration was not seen before a confirmation left. Now the clock is read when the confirmation is given, then the check is made, then it is sent; evidence is discarded up to the current time, not that of the iteration. - Delays by position were still capped at ten, so owners 10 to 15 of a group acted in the same instant. ActingOrder has no cap. - The opening line of a relay and the request for a confirmation broke sessions and feeds between daemons of this and the earlier version. The opening is now an addition to the caller's line, and a daemon that closes its feed instead of a response is not asked again for 30 s. - Lines sent before an owner accepted a session were lost if it declined. - A renewal that fails unexpectedly was repeated without a pause.

WatcherSelection is SourceSelection; "confirmation" is used for leases only. Numbers of feed lines are parsed in one place.

--- a/bin/bundle.bash
+++ b/bin/bundle.bash
@@ -17,7 +17,7 @@
   sleep 0.1
 done
 java -XX:ArchiveClassesAtExit=target/lavenderwickd.jsa -XX:+UseSerialGC -XX:TieredStopAtLevel=1 \
-  -cp target/lavenderwickd.jar org.lavenderwick.daemon.SessionMain "$settings" > target/rehearsal.log 2>&1 &
+  -jar target/lavenderwickd.jar --sessions --settings "$settings" > target/rehearsal.log 2>&1 &
 daemon=$!
 wait "$rehearsal"
 kill -TERM "$daemon"
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/LeaseEvidence.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/LeaseEvidence.java
@@ -4,8 +4,10 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Supplier;
 
 import org.lavenderwick.core.model.GroupName;
+import org.lavenderwick.core.time.MonotonicClock;
 
 /**
  * Evidence from renewals of the lease of the term record. The lease is revoked before an open term is replaced, so a
@@ -73,13 +75,22 @@
      * Returns the confirmation that this daemon can give to another one. Only a renewal of its own counts, so that
      * confirmations are not passed on from one to the next.
      *
-     * @param discardedUntil time until which all evidence was discarded
+     * <p>The age is taken first, and only then it is checked whether the host was suspended. A suspension after that
+     * delays the response, and the other daemon counts that time, since it counts from its request.
+     *
+     * @param clock the clock with which renewals are dated, read here and not before
+     * @param discardedUntil checks now whether the host was suspended, and returns the time until which all evidence is
+     *     discarded
      * @return empty if there was no renewal after that time
      */
-    public synchronized Optional<LeaseConfirmation> confirmation(Duration now, Duration discardedUntil) {
-        return ownRenewalSentAt == null || ownRenewalSentAt.compareTo(discardedUntil) <= 0
-                ? Optional.empty()
-                : Optional.of(new LeaseConfirmation(ownRenewedLease, now.minus(ownRenewalSentAt)));
+    public synchronized Optional<LeaseConfirmation> confirmation(
+            MonotonicClock clock, Supplier<Duration> discardedUntil) {
+        if (ownRenewalSentAt == null) {
+            return Optional.empty();
+        }
+        LeaseConfirmation confirmation =
+                new LeaseConfirmation(ownRenewedLease, clock.now().minus(ownRenewalSentAt));
+        return ownRenewalSentAt.compareTo(discardedUntil.get()) <= 0 ? Optional.empty() : Optional.of(confirmation);
     }
 
     private void prove(long lease, Duration sentAt) {
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/propagation/ChangeSources.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/propagation/ChangeSources.java
@@ -28,10 +28,10 @@
 public final class ChangeSources<S> {
 
     /**
-     * The maximum change delay is divided by this to get the longest time between two confirmations of the store that
-     * there are no later changes.
+     * The maximum change delay is divided by this to get the longest time that a watch of the store takes. Only its end
+     * shows that there are no later changes.
      */
-    private static final int CONFIRMATION_DIVISOR = 3;
+    private static final int WATCH_TIME_DIVISOR = 3;
 
     /**
      * The maximum change delay is divided by this to get the age above which the content of a feed is too old. The rest
@@ -66,7 +66,7 @@
     private record Exclusion(Duration failedAt, Duration length) {}
 
     private final Duration lastResortAge;
-    private final Duration confirmationInterval;
+    private final Duration maxWatchTime;
     private final Duration maxAge;
     private final Backoff storeBackoff;
     private final List<S> seeds;
@@ -81,7 +81,7 @@
 
     private ChangeSources(Duration maxChangeDelay, Backoff storeBackoff, List<S> seeds, Duration createdAt) {
         this.lastResortAge = Duration.ofNanos((long) (maxChangeDelay.toNanos() * LAST_RESORT_FACTOR));
-        this.confirmationInterval = maxChangeDelay.dividedBy(CONFIRMATION_DIVISOR);
+        this.maxWatchTime = maxChangeDelay.dividedBy(WATCH_TIME_DIVISOR);
         this.maxAge = maxChangeDelay.dividedBy(MAX_AGE_DIVISOR);
         this.storeBackoff = storeBackoff;
         this.seeds = ImmutableList.copyOf(seeds);
@@ -231,8 +231,8 @@
         if (storeFailing || !content.isKnown()) {
             return Duration.ZERO;
         }
-        Duration nextConfirmationAt = content.currentAt().plus(confirmationInterval);
-        return max(Duration.ZERO, nextConfirmationAt.minus(now));
+        Duration watchEndsAt = content.currentAt().plus(maxWatchTime);
+        return max(Duration.ZERO, watchEndsAt.minus(now));
     }
 
     /** Records that the store has responded; returns whether the call before had failed. */
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/propagation/WatcherSelection.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/propagation/SourceSelection.java
@@ -26,7 +26,7 @@
  * access. If the store responds to none of the heads, some other daemons have access: they turn to the store last, and
  * the rest then turns to them.
  */
-public final class WatcherSelection {
+public final class SourceSelection {
 
     /** Minimum number of heads of a failure domain that is large enough. The second one replaces the first one. */
     static final int MIN_HEADS_PER_DOMAIN = 2;
@@ -56,7 +56,7 @@
      */
     public record Selection(StoreRole role, List<DaemonName> feeds) {}
 
-    private WatcherSelection() {}
+    private SourceSelection() {}
 
     /**
      * Returns the sources of a daemon.
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/TermRecordTest.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/TermRecordTest.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -12,6 +14,7 @@
 import org.lavenderwick.core.model.GroupName;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 class TermRecordTest {
 
@@ -92,4 +95,58 @@
             assertThat(evidence.view(ORDERS).get().primary()).isEqualTo(FIRST);
         }
     }
+
+    @Nested
+    class Confirmations {
+
+        private final LeaseEvidence evidence = LeaseEvidence.create();
+        private Duration time = Duration.ofMillis(1000);
+
+        private Optional<LeaseConfirmation> confirm(Supplier<Duration> discardedUntil) {
+            return evidence.confirmation(() -> time, discardedUntil);
+        }
+
+        @Test
+        void stateTheAgeOfTheOwnRenewal() {
+            evidence.install(RECORD, 10);
+            assertThat(confirm(() -> Duration.ZERO)).isEmpty();
+            evidence.onRenewed(7, Duration.ofMillis(900));
+            assertThat(confirm(() -> Duration.ZERO)).contains(new LeaseConfirmation(7, Duration.ofMillis(100)));
+        }
+
+        @Test
+        void areNotPassedOn() {
+            evidence.install(RECORD, 10);
+            evidence.onConfirmed(new LeaseConfirmation(7, Duration.ZERO), Duration.ofMillis(990));
+            assertThat(evidence.view(ORDERS)).isPresent();
+            assertThat(confirm(() -> Duration.ZERO)).isEmpty();
+        }
+
+        @Test
+        void countFromTheRequestLessTheAgeAndTheMargin() {
+            evidence.install(RECORD, 10);
+            evidence.onConfirmed(new LeaseConfirmation(7, Duration.ofMillis(100)), Duration.ofMillis(990));
+            assertThat(evidence.view(ORDERS).get().provenAt()).isEqualTo(Duration.ofMillis(990 - 100 - 150));
+        }
+
+        /** Guards against a suspension between the last check and the statement, which the stopped clock hides. */
+        @Test
+        void areNotGivenAfterASuspensionThatIsOnlyNoticedNow() {
+            evidence.install(RECORD, 10);
+            evidence.onRenewed(7, Duration.ofMillis(900));
+            assertThat(confirm(() -> time)).isEmpty();
+        }
+
+        /** Guards against an age taken from a time before the renewal: it would be negative. */
+        @Test
+        void readTheClockWhenTheyAreGiven() {
+            evidence.install(RECORD, 10);
+            Duration timeOfTheLoop = time;
+            time = time.plusMillis(30);
+            evidence.onRenewed(7, timeOfTheLoop.plusMillis(20));
+            assertThat(confirm(() -> Duration.ZERO).get().age()).isEqualTo(Duration.ofMillis(10));
+            assertThatThrownBy(() -> new LeaseConfirmation(7, timeOfTheLoop.minus(time)))
+                    .isInstanceOf(IllegalArgumentException.class);
+        }
+    }
 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/ChangeInbox.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/ChangeInbox.java
@@ -137,7 +137,7 @@
                 updates.add(new Update(complete, changes));
             }
         } else if (content.currentAt().compareTo(knownBefore) > 0) {
-            traffic.confirmStoreContent(content.currentAt());
+            traffic.onStoreContentCurrent(content.currentAt());
         }
     }
 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/EvidenceRenewal.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/EvidenceRenewal.java
@@ -6,43 +6,21 @@
 
 import org.jboss.logging.Logger;
 import org.lavenderwick.core.failover.LeaseConfirmation;
+import org.lavenderwick.core.failover.LeaseEvidence;
+import org.lavenderwick.core.failover.RenewalPolicy;
 import org.lavenderwick.core.time.MonotonicClock;
 
 /**
  * The task of the thread that renews the lease of the term record, which is the evidence of the primaries. It makes no
  * other calls, so that a call that the store leaves without a response delays neither the changes of the fleet nor the
  * daemon's own entries.
- *
- * <p>In a large fleet only the heads of the failure domains renew the lease at the store, and the followers let them
- * confirm their renewals: the calls to the store then do not grow with the fleet. A follower that gets no confirmation
- * renews the lease itself.
+ * What it does, and when, is decided by {@link RenewalPolicy}.
  */
 final class EvidenceRenewal implements Runnable {
 
-    /** Time between renewals. Evidence stays valid for several of these intervals. */
-    private static final Duration RENEWAL_INTERVAL = Duration.ofMillis(300);
-
-    /**
-     * Time between renewals of a daemon that confirms them to others, and between the requests of a daemon that lets
-     * others confirm. Shorter, as the age of a confirmation and the interval add up.
-     */
-    private static final Duration CONFIRMATION_INTERVAL = Duration.ofMillis(200);
-
     /** Longest time to wait for a confirmation. */
     private static final Duration CONFIRMATION_TIMEOUT = Duration.ofMillis(120);
 
-    /** Time for which a daemon renews the lease itself after it has not got a confirmation. */
-    private static final Duration RETRY_DELAY = Duration.ofSeconds(1);
-
-    /** Time for which a daemon that was asked for a confirmation keeps renewing the lease for others. */
-    private static final Duration REQUEST_MEMORY = Duration.ofSeconds(2);
-
-    /** Time between checks while this daemon needs no evidence; a statement that needs it waits for this long. */
-    private static final Duration NEED_CHECK_INTERVAL = Duration.ofMillis(100);
-
-    /** Time between checks while the lease has expired and another daemon may replace it. */
-    private static final Duration EXPIRED_CHECK_INTERVAL = Duration.ofMillis(60);
-
     private static final Logger LOG = Logger.getLogger(EvidenceRenewal.class);
 
     private final TermRecordManager terms;
@@ -52,9 +30,8 @@
     private final Supplier<Boolean> needed;
     private final Supplier<Optional<Duration>> replacementDelay;
     private final Runnable onRenewed;
+    private final RenewalPolicy policy = RenewalPolicy.create();
     private boolean renewNow;
-    private Duration nextConfirmationAt = Duration.ZERO;
-    private volatile Duration lastRequestedAt;
 
     /**
      * Creates the task.
@@ -91,70 +68,60 @@
     @Override
     public void run() {
         while (!Thread.currentThread().isInterrupted()) {
+            RenewalPolicy.Action action = policy.next(follower.get(), needed.get(), clock.now());
             try {
-                boolean confirmsToOthers = isConfirmingToOthers();
-                boolean active = needed.get() || confirmsToOthers;
-                if (active) {
-                    if (confirmsToOthers || !requestConfirmation()) {
-                        terms.renewLease(replacementDelay.get());
-                    }
-                    onRenewed.run();
-                }
-                awaitNext(active);
+                perform(action);
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             } catch (RuntimeException e) {
                 LOG.errorf(e, "[fleet] Renewing the lease of the term record failed unexpectedly; trying again.");
             }
+            awaitNext(action);
         }
     }
 
-    /**
-     * Returns the confirmation of this daemon's last renewal for another daemon. May be called from any thread.
-     *
-     * @param discardedUntil time until which all evidence was discarded
-     */
-    Optional<LeaseConfirmation> confirm(Duration now, Duration discardedUntil) {
-        boolean first = !isConfirmingToOthers();
-        lastRequestedAt = now;
-        if (first) {
-            requestRenewal();
+    private void perform(RenewalPolicy.Action action) throws InterruptedException {
+        boolean confirmed = action == RenewalPolicy.Action.REQUEST_CONFIRMATION && requestConfirmation();
+        if (action != RenewalPolicy.Action.NONE) {
+            if (!confirmed) {
+                terms.renewLease(replacementDelay.get());
+            }
+            onRenewed.run();
         }
-        return terms.evidence().confirmation(now, discardedUntil);
-    }
-
-    private boolean isConfirmingToOthers() {
-        Duration requestedAt = lastRequestedAt;
-        return requestedAt != null && requestedAt.plus(REQUEST_MEMORY).compareTo(clock.now()) > 0;
     }
 
     /** Lets the daemon whose feed is read confirm its renewal; returns whether the confirmation proves the record. */
     private boolean requestConfirmation() throws InterruptedException {
-        Duration now = clock.now();
-        if (!follower.get() || now.compareTo(nextConfirmationAt) < 0) {
-            return false;
-        }
+        Duration requestedAt = clock.now();
         Optional<LeaseConfirmation> confirmation = confirmations.request(CONFIRMATION_TIMEOUT);
-        if (confirmation.isPresent() && terms.onConfirmed(confirmation.get(), now)) {
+        if (confirmation.isPresent() && terms.onConfirmed(confirmation.get(), requestedAt)) {
             return true;
         }
-        nextConfirmationAt = now.plus(RETRY_DELAY);
+        policy.onConfirmationMissed(requestedAt);
         return false;
     }
 
-    private synchronized void awaitNext(boolean active) throws InterruptedException {
-        if (!renewNow) {
-            wait(interval(active).toMillis());
+    private synchronized void awaitNext(RenewalPolicy.Action action) {
+        try {
+            if (!renewNow) {
+                wait(policy.pauseAfter(action, follower.get(), terms.isLeaseExpired(), clock.now())
+                        .toMillis());
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
         renewNow = false;
     }
 
-    private Duration interval(boolean active) {
-        if (!active) {
-            return NEED_CHECK_INTERVAL;
-        } else if (terms.isLeaseExpired()) {
-            return EXPIRED_CHECK_INTERVAL;
+    /**
+     * Returns the confirmation of this daemon's last renewal for another daemon. May be called from any thread.
+     *
+     * @param discardedUntil checks whether the host was suspended, see {@link LeaseEvidence#confirmation}
+     */
+    Optional<LeaseConfirmation> confirm(Supplier<Duration> discardedUntil) {
+        if (policy.onAsked(clock.now())) {
+            requestRenewal();
         }
-        return follower.get() || isConfirmingToOthers() ? CONFIRMATION_INTERVAL : RENEWAL_INTERVAL;
+        return terms.evidence().confirmation(clock, discardedUntil);
     }
 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FeedReader.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FeedReader.java
@@ -52,16 +52,18 @@
     /** Reads a feed until it fails, is too old, or another feed is preferred. */
     private void read(InetSocketAddress source) {
         try (PeerFeed feed = PeerFeed.open(source, inbox.revision(), decoder, confirmations::onConfirmed)) {
-            confirmations.onFeedOpened(feed);
+            confirmations.onFeedOpened(source, feed);
             while (inbox.isPreferredFeed(source) && !Thread.currentThread().isInterrupted()) {
                 if (!inbox.deliverFromFeed(source, feed.nextBatch(inbox.feedTimeout()))) {
                     throw new IOException("its content is too old");
                 }
             }
             inbox.onFeedClosed();
-        } catch (IOException | RuntimeException e) {
-            // An unexpected error of one feed must not end this thread: another feed may be sound.
-            LOG.debugf("[fleet] Stopped reading store changes from the daemon at %s: %s.", source, e);
+        } catch (IOException e) {
+            LOG.debugf("[fleet] Stopped reading store changes from the daemon at %s: %s.", source, e.getMessage());
+            inbox.onFeedFailed(source);
+        } catch (RuntimeException e) {
+            LOG.errorf(e, "[fleet] Reading the feed of %s failed unexpectedly; trying another one.", source);
             inbox.onFeedFailed(source);
         } finally {
             confirmations.onFeedClosed();
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
@@ -16,14 +16,15 @@
 import org.jboss.logging.Logger;
 import org.lavenderwick.adapters.session.EndpointCodec;
 import org.lavenderwick.core.dispatch.GroupOwners;
+import org.lavenderwick.core.failover.ActingOrder;
 import org.lavenderwick.core.failover.PromotionPort;
 import org.lavenderwick.core.failover.ProvenPrimary;
 import org.lavenderwick.core.failover.TermRecord;
 import org.lavenderwick.core.model.DaemonName;
 import org.lavenderwick.core.model.GroupName;
 import org.lavenderwick.core.propagation.ChangeSources;
+import org.lavenderwick.core.propagation.SourceSelection;
 import org.lavenderwick.core.propagation.StoreRole;
-import org.lavenderwick.core.propagation.WatcherSelection;
 import org.lavenderwick.core.store.FleetStore;
 import org.lavenderwick.core.store.StoreChange;
 import org.lavenderwick.core.time.Backoff;
@@ -111,7 +112,7 @@
                 traffic);
         StoreChangeReader changeReader = new StoreChangeReader(store, inbox, clock, maxChangeDelay);
         this.terms = new TermRecordManager(store, clock);
-        LeaseConfirmations confirmations = new LeaseConfirmations();
+        LeaseConfirmations confirmations = new LeaseConfirmations(clock);
         this.renewal = new EvidenceRenewal(
                 terms,
                 confirmations,
@@ -245,8 +246,8 @@
         Map<DaemonName, Peer> daemons = new HashMap<>(peers);
         // This daemon's own entry may not have come back from the store yet.
         daemons.put(daemon, self);
-        WatcherSelection.Selection selection =
-                WatcherSelection.select(daemon, Maps.transformValues(daemons, Peer::failureDomain));
+        SourceSelection.Selection selection =
+                SourceSelection.select(daemon, Maps.transformValues(daemons, Peer::failureDomain));
         role = selection.role();
         inbox.setSources(
                 selection.role(),
@@ -259,7 +260,6 @@
 
     /** Returns how long this daemon waits for those selected before it to replace an expired lease. */
     private Optional<Duration> leaseReplacementDelay() {
-        int position = leaseReplacers.indexOf(daemon);
-        return position < 0 ? Optional.empty() : Optional.of(REPLACEMENT_DELAY.multipliedBy(position));
+        return ActingOrder.delay(leaseReplacers, daemon, REPLACEMENT_DELAY);
     }
 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetUpkeep.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetUpkeep.java
@@ -14,7 +14,9 @@
 import org.lavenderwick.adapters.session.EndpointCodec;
 import org.lavenderwick.core.catalog.EndpointEntry;
 import org.lavenderwick.core.catalog.EndpointRole;
+import org.lavenderwick.core.failover.ActingOrder;
 import org.lavenderwick.core.failover.FailoverRun;
+import org.lavenderwick.core.failover.FailoverTrigger;
 import org.lavenderwick.core.failover.GroupTerm;
 import org.lavenderwick.core.failover.TermPhase;
 import org.lavenderwick.core.failover.TermRecord;
@@ -45,7 +47,7 @@
     /** Time to live of the entry by which this daemon counts as live and gets a share of the connections. */
     private static final Duration DAEMON_ENTRY_TIME_TO_LIVE = Duration.ofSeconds(6);
 
-    /** Delay that each earlier owner adds before this daemon records the first primary of a group. */
+    /** Wait for each owner before this daemon before it records the first primary of a group. */
     private static final Duration FIRST_PRIMARY_DELAY = Duration.ofMillis(100);
 
     private static final Logger LOG = Logger.getLogger(FleetUpkeep.class);
@@ -158,17 +160,16 @@
         onFailoverLikely.accept(unreachabilityVotes.hasVotes(storeCache) || hasUnfinishedFailover(record, groups));
         for (GroupName group : groups) {
             List<DaemonName> owners = current.owners(group);
-            int position = owners.indexOf(daemon);
-            if (position < 0) {
+            if (!owners.contains(daemon)) {
                 unreachabilityVotes.withdraw(group);
                 continue;
             }
             Optional<GroupTerm> term = record.group(group);
             Map<EndpointName, EndpointEntry> members = storeCache.members(group);
             if (term.isEmpty()) {
-                recordFirstPrimary(group, members, position);
+                recordFirstPrimary(group, members, turn(owners, FIRST_PRIMARY_DELAY));
             } else {
-                maintainGroup(group, term.get(), members, unresponsive, owners.size(), position);
+                maintainGroup(group, term.get(), members, unresponsive, owners);
             }
         }
         failovers.removeFinished();
@@ -179,14 +180,18 @@
             GroupTerm term,
             Map<EndpointName, EndpointEntry> members,
             Set<EndpointName> unresponsive,
-            int owners,
-            int position) {
+            List<DaemonName> owners) {
         boolean primaryUnresponsive = unresponsive.contains(term.primary());
         unreachabilityVotes.updateOwnVote(group, term.primary(), primaryUnresponsive, storeCache, clock.now());
         boolean votedOut =
-                primaryUnresponsive && unreachabilityVotes.count(group, term.primary(), storeCache) > owners / 2;
+                primaryUnresponsive && unreachabilityVotes.count(group, term.primary(), storeCache) > owners.size() / 2;
         boolean locked = storeCache.entry(FailoverRun.lockKey(group)).isPresent();
-        failovers.startIfDue(group, term, members, votedOut, locked, position, clock.now());
+        failovers.startIfDue(group, term, members, votedOut, locked, turn(owners, FailoverTrigger.STEP), clock.now());
+    }
+
+    /** Returns how long this daemon, one of the owners, waits for those before it. */
+    private Duration turn(List<DaemonName> owners, Duration step) {
+        return ActingOrder.delay(owners, daemon, step).orElseThrow();
     }
 
     /** Returns whether a group has a failover that has begun and not ended. */
@@ -201,10 +206,10 @@
      * Adds a group to the term record with the primary that its endpoint reports. The first owner does so immediately,
      * each other one after a delay that grows with its position among the owners.
      */
-    private void recordFirstPrimary(GroupName group, Map<EndpointName, EndpointEntry> members, int position) {
+    private void recordFirstPrimary(GroupName group, Map<EndpointName, EndpointEntry> members, Duration turn) {
         Duration now = clock.now();
         Duration since = missingSince.computeIfAbsent(group, name -> now);
-        if (now.minus(since).compareTo(FIRST_PRIMARY_DELAY.multipliedBy(position)) < 0) {
+        if (now.minus(since).compareTo(turn) < 0) {
             return;
         }
         List<EndpointEntry> primaries = members.values().stream()
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/LeaseConfirmations.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/LeaseConfirmations.java
@@ -1,11 +1,15 @@
 package org.lavenderwick.daemon.fleet;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 
 import org.jboss.logging.Logger;
 import org.lavenderwick.core.failover.LeaseConfirmation;
+import org.lavenderwick.core.time.MonotonicClock;
 import org.lavenderwick.daemon.session.FeedProtocol;
 
 /**
@@ -14,19 +18,37 @@
  */
 final class LeaseConfirmations {
 
+    /**
+     * Time for which a daemon is not asked again that closed its feed instead of a response. A daemon of an earlier
+     * version does so, and its feed is worth more than a confirmation.
+     */
+    private static final Duration CLOSED_FEED_MEMORY = Duration.ofSeconds(30);
+
     private static final Logger LOG = Logger.getLogger(LeaseConfirmations.class);
 
+    private final MonotonicClock clock;
+    private final Map<InetSocketAddress, Duration> notAskedUntil = new HashMap<>();
+    private InetSocketAddress source;
     private PeerFeed feed;
     private long lastRequest;
+    private boolean waiting;
     private FeedProtocol.Confirmed response;
 
+    LeaseConfirmations(MonotonicClock clock) {
+        this.clock = clock;
+    }
+
     /** Sets the feed over which requests are sent. */
-    synchronized void onFeedOpened(PeerFeed opened) {
+    synchronized void onFeedOpened(InetSocketAddress address, PeerFeed opened) {
+        source = address;
         feed = opened;
     }
 
     /** Ends the use of the feed; a request that waits gets no response. */
     synchronized void onFeedClosed() {
+        if (waiting) {
+            notAskedUntil.put(source, clock.now().plus(CLOSED_FEED_MEMORY));
+        }
         feed = null;
         notifyAll();
     }
@@ -46,8 +68,9 @@
      * @return empty if no feed is being read, or if it does not respond or cannot confirm
      */
     synchronized Optional<LeaseConfirmation> request(Duration timeout) throws InterruptedException {
+        notAskedUntil.values().removeIf(until -> until.compareTo(clock.now()) <= 0);
         PeerFeed current = feed;
-        if (current == null) {
+        if (current == null || notAskedUntil.containsKey(source)) {
             return Optional.empty();
         }
         response = null;
@@ -58,11 +81,20 @@
             LOG.debugf("[fleet] Could not request a confirmation over the feed: %s", e.getMessage());
             return Optional.empty();
         }
-        long end = System.nanoTime() + timeout.toNanos();
-        for (long left = timeout.toMillis(); response == null && feed == current && left > 0; ) {
-            wait(left);
-            left = (end - System.nanoTime()) / Duration.ofMillis(1).toNanos();
+        waiting = true;
+        try {
+            awaitResponse(current, clock.now().plus(timeout));
+        } finally {
+            waiting = false;
         }
         return Optional.ofNullable(response).map(FeedProtocol.Confirmed::confirmation);
     }
+
+    private void awaitResponse(PeerFeed current, Duration end) throws InterruptedException {
+        long millis = end.minus(clock.now()).toMillis();
+        while (response == null && feed == current && millis > 0) {
+            wait(millis);
+            millis = end.minus(clock.now()).toMillis();
+        }
+    }
 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/TermRecordManager.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/TermRecordManager.java
@@ -11,6 +11,7 @@
 import org.lavenderwick.core.failover.GroupTerm;
 import org.lavenderwick.core.failover.LeaseConfirmation;
 import org.lavenderwick.core.failover.LeaseEvidence;
+import org.lavenderwick.core.failover.RenewalPolicy;
 import org.lavenderwick.core.failover.TermLease;
 import org.lavenderwick.core.failover.TermRecord;
 import org.lavenderwick.core.failover.TermRecordStore;
@@ -35,9 +36,6 @@
     /** Maximum delay after a renewal without a response; the time for which evidence is valid. */
     private static final Duration MAX_RETRY_DELAY = FailoverTimings.DEFAULTS.evidenceMaxAge();
 
-    /** Age above which a confirmation is not accepted; with it, evidence would soon be too old. */
-    private static final Duration MAX_CONFIRMATION_AGE = Duration.ofMillis(400);
-
     private final FleetStore store;
     private final TermRecordStore records;
     private final MonotonicClock clock;
@@ -104,14 +102,12 @@
     }
 
     /**
-     * Records the confirmation of a renewal by another daemon, and returns whether it proves the current record: it
-     * must be for the lease of that record and recent enough to be of use.
+     * Records the confirmation of a renewal by another daemon, and returns whether it proves the current record.
      *
      * @param requestedAt when it was requested
      */
     boolean onConfirmed(LeaseConfirmation confirmation, Duration requestedAt) {
-        boolean useful = confirmation.lease() == evidence.record().lease()
-                && confirmation.age().compareTo(MAX_CONFIRMATION_AGE) <= 0;
+        boolean useful = RenewalPolicy.isUseful(confirmation, evidence.record().lease());
         if (useful) {
             evidence.onConfirmed(confirmation, requestedAt);
         }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerConnection.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerConnection.java
@@ -10,6 +10,7 @@
 import org.lavenderwick.adapters.session.CallerCodec;
 import org.lavenderwick.adapters.session.CallerMessage;
 import org.lavenderwick.adapters.session.EndpointCodec;
+import org.lavenderwick.core.catalog.RouteOrigin;
 
 /**
  * A caller's connection. The group of the database named in the first message decides where the session is served: by
@@ -30,9 +31,9 @@
     private final EndpointCodec endpointCodec;
     private final EventLoop loop;
     private final boolean relayedFromPeer;
-    private final Optional<RelayProtocol.Origin> origin;
+    private final Optional<RouteOrigin> origin;
     private final Deque<Peer> untriedOwners = new ArrayDeque<>();
-    private RelayProtocol.Origin relayOrigin;
+    private RouteOrigin relayOrigin;
     private LineConnection line;
     private CallerSession localSession;
     private RelayedSession relayedSession;
@@ -45,7 +46,7 @@
             EndpointCodec endpointCodec,
             EventLoop loop,
             boolean relayedFromPeer,
-            Optional<RelayProtocol.Origin> origin) {
+            Optional<RouteOrigin> origin) {
         this.proxy = proxy;
         this.codec = codec;
         this.endpointCodec = endpointCodec;
@@ -71,7 +72,7 @@
             CallerCodec codec,
             EndpointCodec endpointCodec,
             EventLoop loop,
-            Optional<RelayProtocol.Origin> origin) {
+            Optional<RouteOrigin> origin) {
         return new CallerConnection(proxy, codec, endpointCodec, loop, true, origin);
     }
 
@@ -99,7 +100,7 @@
     private void openSession(String text) {
         firstLine = text;
         Optional<String> database = requestedDatabase(text);
-        if (origin.isPresent() && origin.get().isNewerThan(proxy.catalog(), database)) {
+        if (origin.isPresent() && origin.get().supersedes(proxy.catalog(), database)) {
             line.send(RelayProtocol.OUTDATED);
             line.closeAfterSending();
             proxy.onSessionEnded(this);
@@ -107,8 +108,7 @@
         }
         if (!relayedFromPeer) {
             database.flatMap(name -> proxy.route(name).toJavaOptional()).ifPresent(route -> {
-                relayOrigin =
-                        new RelayProtocol.Origin(proxy.catalog().orElseThrow().version(), route.group());
+                relayOrigin = new RouteOrigin(proxy.catalog().orElseThrow().version(), route.group());
                 untriedOwners.addAll(proxy.relayCandidates(route.group()));
             });
         }
@@ -130,6 +130,8 @@
                 next.open(loop, peer, relayOrigin, firstLine);
                 relayedSession = next;
                 lastRequestAt = loop.now();
+                // Further lines wait until an owner has accepted the session, because another one may still take over.
+                line.pause();
             } catch (IOException e) {
                 LOG.debugf(
                         "[session] Could not connect to the owner at %s: %s; trying the next owner, if any.",
@@ -140,12 +142,14 @@
             localSession = new CallerSession(proxy, codec, loop, () -> proxy.onSessionEnded(this));
             localSession.attach(line);
             localSession.onLine(firstLine);
+            line.resume();
         }
     }
 
     @Override
     public void onResponseLine(String text) {
         line.send(text);
+        line.resume();
     }
 
     @Override
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EventLoop.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EventLoop.java
@@ -85,6 +85,11 @@
         return now;
     }
 
+    /** Returns the current monotonic time, which is later than {@link #now} during a long iteration. */
+    Duration currentTime() {
+        return clock.now();
+    }
+
     /** Runs a task on the thread of the loop. May be called from any thread. */
     public void execute(Runnable task) {
         tasks.add(task);
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/FeedProtocol.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/FeedProtocol.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 
 import com.google.common.base.Splitter;
@@ -28,13 +29,13 @@
 
     private static final String BATCH_END_PREFIX = "UPTO ";
 
-    private static final int BATCH_END_WORDS = 3;
+    private static final int BATCH_END_NUMBERS = 2;
 
     private static final String CONFIRM_PREFIX = "CONFIRM ";
 
     private static final String CONFIRMED_PREFIX = "CONFIRMED ";
 
-    private static final int CONFIRMED_WORDS = 4;
+    private static final int CONFIRMED_NUMBERS = 3;
 
     /**
      * The line that ends a batch.
@@ -75,15 +76,20 @@
 
     /** Returns the parsed end of a batch; empty if the line is not a valid one. */
     public static Optional<BatchEnd> parseBatchEnd(String line) {
-        List<String> words = Splitter.on(' ').splitToList(line);
-        if (!line.startsWith(BATCH_END_PREFIX) || words.size() != BATCH_END_WORDS) {
+        return parseNumbers(line, BATCH_END_PREFIX, BATCH_END_NUMBERS)
+                .map(numbers -> new BatchEnd(numbers.get(0), Duration.ofMillis(numbers.get(1))));
+    }
+
+    /** Returns the numbers after a prefix; empty if there are not exactly so many, or the last one is negative. */
+    private static Optional<List<Long>> parseNumbers(String line, String prefix, int count) {
+        if (!line.startsWith(prefix)) {
             return Optional.empty();
         }
-        Long revision = Longs.tryParse(words.get(1));
-        Long millis = Longs.tryParse(words.get(2));
-        return revision == null || millis == null || millis < 0
-                ? Optional.empty()
-                : Optional.of(new BatchEnd(revision, Duration.ofMillis(millis)));
+        List<String> words = Splitter.on(' ').splitToList(line.substring(prefix.length()));
+        List<Long> numbers =
+                words.stream().map(Longs::tryParse).filter(Objects::nonNull).toList();
+        boolean valid = words.size() == count && numbers.size() == count && numbers.get(count - 1) >= 0;
+        return valid ? Optional.of(numbers) : Optional.empty();
     }
 
     /** The response to a request for a confirmation, with the number of the request. */
@@ -109,18 +115,8 @@
 
     /** Returns the parsed confirmation; empty if the line is not a valid one. */
     public static Optional<Confirmed> parseConfirmed(String line) {
-        if (!line.startsWith(CONFIRMED_PREFIX)) {
-            return Optional.empty();
-        }
-        List<String> words = Splitter.on(' ').splitToList(line);
-        if (words.size() != CONFIRMED_WORDS) {
-            return Optional.empty();
-        }
-        Long request = Longs.tryParse(words.get(1));
-        Long lease = Longs.tryParse(words.get(2));
-        Long millis = Longs.tryParse(words.get(CONFIRMED_WORDS - 1));
-        return request == null || lease == null || millis == null || millis < 0
-                ? Optional.empty()
-                : Optional.of(new Confirmed(request, new LeaseConfirmation(lease, Duration.ofMillis(millis))));
+        return parseNumbers(line, CONFIRMED_PREFIX, CONFIRMED_NUMBERS)
+                .map(numbers -> new Confirmed(
+                        numbers.get(0), new LeaseConfirmation(numbers.get(1), Duration.ofMillis(numbers.get(2)))));
     }
 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GroupDispatcher.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GroupDispatcher.java
@@ -318,9 +318,9 @@
         }
     }
 
-    /** Discards the evidence and log positions gathered so far, because the clock of the host has jumped. */
-    void discardEvidence() {
-        primaryTracker.discardEvidence(loop.now());
+    /** Discards the evidence and log positions gathered until the given time, because the host was suspended. */
+    void discardEvidence(Duration until) {
+        primaryTracker.discardEvidence(until);
         positions.clear();
     }
 
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/IncomingPeerConnection.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/IncomingPeerConnection.java
@@ -2,6 +2,8 @@
 
 import java.util.Optional;
 
+import org.lavenderwick.core.catalog.RouteOrigin;
+
 /**
  * A connection accepted from another daemon. Its first line either subscribes to the feed of store changes, on which
  * confirmations may then be requested, or opens a relayed session. Confined to the traffic thread.
@@ -12,7 +14,6 @@
     private final StoreFeed feed;
     private LineConnection line;
     private CallerConnection session;
-    private Optional<RelayProtocol.Origin> origin = Optional.empty();
 
     IncomingPeerConnection(SessionProxy proxy, StoreFeed feed) {
         this.proxy = proxy;
@@ -36,23 +37,19 @@
         }
         Optional<Long> knownRevision = FeedProtocol.parseSubscription(text);
         Optional<Long> confirmation = FeedProtocol.parseConfirmationRequest(text);
-        Optional<RelayProtocol.Origin> opened = RelayProtocol.parse(text);
         if (knownRevision.isPresent()) {
             feed.subscribe(line, knownRevision.get());
         } else if (confirmation.isPresent()) {
             feed.confirmLease(line, confirmation.get());
-        } else if (opened.isPresent()) {
-            origin = opened;
         } else {
-            session().onLine(text);
+            RelayProtocol.Opening opening = RelayProtocol.parse(text);
+            openSession(opening.origin()).onLine(opening.firstLine());
         }
     }
 
-    private CallerConnection session() {
-        if (session == null) {
-            session = proxy.newRelayedSession(origin);
-            session.attach(line);
-        }
+    private CallerConnection openSession(Optional<RouteOrigin> origin) {
+        session = proxy.newRelayedSession(origin);
+        session.attach(line);
         return session;
     }
 
@@ -67,6 +64,7 @@
     @Override
     public void onMalformedLine(boolean tooLong) {
         feed.unsubscribe(line);
-        session().onMalformedLine(tooLong);
+        CallerConnection opened = session == null ? openSession(Optional.empty()) : session;
+        opened.onMalformedLine(tooLong);
     }
 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/RelayedSession.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/RelayedSession.java
@@ -7,6 +7,7 @@
 import org.lavenderwick.adapters.session.EndpointCodec;
 import org.lavenderwick.adapters.session.EndpointMessage;
 import org.lavenderwick.adapters.session.SessionState;
+import org.lavenderwick.core.catalog.RouteOrigin;
 import org.lavenderwick.core.error.Failure;
 
 /**
@@ -47,10 +48,9 @@
      *
      * @param origin the configuration by which the owner was selected
      */
-    void open(EventLoop loop, Peer peer, RelayProtocol.Origin origin, String firstLine) throws IOException {
+    void open(EventLoop loop, Peer peer, RouteOrigin origin, String firstLine) throws IOException {
         owner = LineConnection.connect(loop, peer.address(), new OwnerListener());
-        owner.send(RelayProtocol.format(origin));
-        owner.send(firstLine);
+        owner.send(RelayProtocol.format(firstLine, origin));
     }
 
     /** Forwards a line of the caller to the owner. */
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
@@ -11,7 +11,8 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
-import java.util.function.BiFunction;
+import java.util.function.Function;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 import com.google.common.collect.ImmutableSet;
@@ -21,6 +22,7 @@
 import org.lavenderwick.adapters.session.EndpointCodec;
 import org.lavenderwick.core.catalog.Catalog;
 import org.lavenderwick.core.catalog.DatabaseRoute;
+import org.lavenderwick.core.catalog.RouteOrigin;
 import org.lavenderwick.core.error.ErrorKind;
 import org.lavenderwick.core.error.Failure;
 import org.lavenderwick.core.failover.LeaseConfirmation;
@@ -96,7 +98,7 @@
      *
      * @param origin the configuration by which it is relayed; empty if the other daemon did not say
      */
-    CallerConnection newRelayedSession(Optional<RelayProtocol.Origin> origin) {
+    CallerConnection newRelayedSession(Optional<RouteOrigin> origin) {
         return register(CallerConnection.ofPeer(this, callerCodec, endpointCodec, loop, origin));
     }
 
@@ -212,13 +214,19 @@
     }
 
     @Override
-    public void confirmStoreContent(Duration currentAt) {
-        loop.execute(() -> feed.confirm(currentAt));
+    public void onStoreContentCurrent(Duration currentAt) {
+        loop.execute(() -> feed.onContentCurrent(currentAt));
     }
 
     @Override
-    public void confirmLeasesWith(BiFunction<Duration, Duration, Optional<LeaseConfirmation>> source) {
-        loop.execute(() -> feed.confirmWith(() -> source.apply(loop.now(), evidenceDiscardedUntil)));
+    public void confirmLeasesWith(Function<Supplier<Duration>, Optional<LeaseConfirmation>> source) {
+        loop.execute(() -> feed.confirmWith(() -> source.apply(this::checkEvidenceDiscardedUntil)));
+    }
+
+    /** Checks whether the host was suspended, and returns the time until which all evidence is discarded. */
+    Duration checkEvidenceDiscardedUntil() {
+        checkForClockJump();
+        return evidenceDiscardedUntil;
     }
 
     @Override
@@ -239,8 +247,9 @@
     private void checkForClockJump() {
         if (clockJumpDetector.hasJumped()) {
             LOG.warn("[session] The clocks of the host parted; evidence of terms is discarded and collected again.");
-            evidenceDiscardedUntil = loop.now();
-            dispatchers.values().forEach(GroupDispatcher::discardEvidence);
+            // Not the time at which this iteration began: a renewal may have been dated since then.
+            evidenceDiscardedUntil = loop.currentTime();
+            dispatchers.values().forEach(dispatcher -> dispatcher.discardEvidence(evidenceDiscardedUntil));
         }
     }
 
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/StoreFeed.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/StoreFeed.java
@@ -75,7 +75,7 @@
     }
 
     /** Records that the content was still the newest at a time. The next heartbeat tells the subscribers. */
-    void confirm(Duration newCurrentAt) {
+    void onContentCurrent(Duration newCurrentAt) {
         currentAt = newCurrentAt;
     }
 
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/TrafficThread.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/TrafficThread.java
@@ -3,7 +3,8 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.BiFunction;
+import java.util.function.Function;
+import java.util.function.Supplier;
 
 import org.lavenderwick.core.failover.LeaseConfirmation;
 import org.lavenderwick.core.model.EndpointName;
@@ -28,13 +29,13 @@
      * Tells the feed that the store had no changes later than those published until the given monotonic time. Takes
      * effect asynchronously.
      */
-    void confirmStoreContent(Duration currentAt);
+    void onStoreContentCurrent(Duration currentAt);
 
     /**
-     * Sets the source of the confirmations that other daemons request from this one. The source gets the current time
-     * and the time until which all evidence was discarded.
+     * Sets the source of the confirmations that other daemons request from this one. The source gets a check of whether
+     * the host was suspended, which returns the time until which all evidence is discarded.
      */
-    void confirmLeasesWith(BiFunction<Duration, Duration, Optional<LeaseConfirmation>> source);
+    void confirmLeasesWith(Function<Supplier<Duration>, Optional<LeaseConfirmation>> source);
 
     /** Returns the endpoints that do not respond to this daemon. */
     Set<EndpointName> unresponsiveEndpoints();
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/MainTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/MainTest.java
@@ -67,4 +67,21 @@
         assertThat(Main.execute("--settings", file.toString())).isEqualTo(Main.USAGE);
         assertThat(errorLine()).contains("what: ").contains("failureDomain: ");
     }
+
+    /** The call of the deployment passes by the parser of the options, and must mean the same. */
+    @Test
+    void deployedCallMeansTheSameAsItsOptionsInAnyOrder() {
+        String file = directory.resolve("missing.json").toString();
+        assertThat(Main.execute("--sessions", "--settings", file)).isEqualTo(Main.USAGE);
+        String deployed = errorLine();
+        errors.reset();
+        assertThat(Main.execute("--settings", file, "--sessions")).isEqualTo(Main.USAGE);
+        assertThat(errorLine()).isEqualTo(deployed).contains("does not exist");
+    }
+
+    @Test
+    void deployedCallWithoutItsFileIsAUsageError() {
+        assertThat(Main.execute("--sessions", "--settings")).isEqualTo(Main.USAGE);
+        assertThat(errorLine()).contains("--settings");
+    }
 }
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionRelayTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionRelayTest.java
@@ -1,6 +1,12 @@
 package org.lavenderwick.daemon;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -8,6 +14,7 @@
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -106,4 +113,98 @@
         members.get(1 - survivor).daemon().close();
         SessionFleet.awaitService(members.get(survivor));
     }
+
+    @Nested
+    class OwnerThatIsBehind {
+
+        private List<String> openRelayed(SessionFleet.Member owner, String line) throws IOException {
+            try (SessionClient client = SessionClient.connect(owner.peerAddress())) {
+                client.send(line);
+                return client.answer();
+            }
+        }
+
+        /** Guards against an owner that refuses a database as unknown for a daemon with a newer configuration. */
+        @Test
+        void declinesADatabaseThatOnlyTheNewerConfigurationKnows() throws IOException {
+            for (SessionFleet.Member member : members) {
+                assertThat(openRelayed(member, "CONNECT new me RELAY 99 db")).containsExactly("OUTDATED", "closed");
+                assertThat(openRelayed(member, "CONNECT new me RELAY 1 db").get(0))
+                        .startsWith("ERROR NODB");
+            }
+        }
+
+        @Test
+        void servesADatabaseThatBothConfigurationsRouteAlike() throws IOException {
+            for (SessionFleet.Member member : members) {
+                assertThat(openRelayed(member, "CONNECT " + SessionFleet.DATABASE + " me RELAY 99 db")
+                                .get(0))
+                        .startsWith("READY I");
+            }
+        }
+
+        /** Guards against an upgrade that breaks the sessions which daemons of the earlier version relay. */
+        @Test
+        void servesASessionThatADaemonOfAnEarlierVersionRelays() throws IOException {
+            for (SessionFleet.Member member : members) {
+                assertThat(openRelayed(member, "CONNECT " + SessionFleet.DATABASE + " me")
+                                .get(0))
+                        .startsWith("READY I");
+            }
+        }
+    }
+
+    /** An owner that this test plays; one of the daemons relays to it. */
+    @Nested
+    class OwnerThatDoesNotServe {
+
+        private ServerSocket owner;
+        private SessionFleet.Member relay;
+
+        @BeforeEach
+        void playAnOwner() throws Exception {
+            owner = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+            relay = members.get(0);
+            // The failure domain comes first in the order, so the only owner is in it.
+            fleet.store().put("lavenderwick/hosts/played", "z0\n127.0.0.1:" + owner.getLocalPort());
+            Thread.sleep(1500);
+        }
+
+        @AfterEach
+        void stopPlaying() throws IOException {
+            owner.close();
+        }
+
+        /** Responds to the next sessions with the given line, or closes them without a response if it is empty. */
+        private void respondWith(String line) {
+            Thread thread = new Thread(() -> {
+                try {
+                    while (true) {
+                        try (Socket session = owner.accept()) {
+                            new BufferedReader(
+                                            new InputStreamReader(session.getInputStream(), StandardCharsets.US_ASCII))
+                                    .readLine();
+                            session.getOutputStream().write(line.getBytes(StandardCharsets.US_ASCII));
+                        }
+                    }
+                } catch (IOException e) {
+                    // The test has ended.
+                }
+            });
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        /** The lines after the first one must reach whoever serves the session in the end. */
+        @ParameterizedTest
+        @ValueSource(strings = {"OUTDATED\r\n", ""})
+        void sessionIsServedByTheRelayingDaemonWithAllLinesOfItsCaller(String response) throws Exception {
+            respondWith(response);
+            try (SessionClient client = SessionClient.connect(relay.address())) {
+                client.send("CONNECT " + SessionFleet.DATABASE + " me\r\nQUERY q1 SET zone a");
+                assertThat(client.answer()).singleElement().asString().startsWith("READY I");
+                assertThat(client.answer().get(0)).isEqualTo("COMPLETE -");
+            }
+        }
+    }
 }
