Give the failover trigger one record to decide on; share test fixtures

Cause: the parameters of the trigger stood twice, in the core and in the daemon; the split test repeated its fixture; two parsers of a number after a prefix. Change: FailoverTrigger.Situation; TestFleet holds ADD, GET and outcome; parseNumber. No behaviour and no assertion changed. Measured: the tests of the touched modules pass (-Dtest='FailoverT*, Endpoint*Test*,MainTest,SessionChanges*,LeaseConf*,StoreChange*').

--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/FailoverTrigger.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/FailoverTrigger.java
@@ -34,6 +34,17 @@
     /** Minimum time between two failovers of a group that a daemon starts. */
     private static final Duration ATTEMPT_INTERVAL = Duration.ofMillis(700);
 
+    /**
+     * What a daemon sees of a group.
+     *
+     * @param term the current term of the group in the term record
+     * @param members the endpoints of the group
+     * @param votedOut whether this daemon and enough others have voted that they cannot reach the primary
+     * @param locked whether a daemon holds the failover lock of the group
+     */
+    public record Situation(
+            GroupTerm term, Map<EndpointName, EndpointEntry> members, boolean votedOut, boolean locked) {}
+
     /** The reason to replace the primary of a term, and since when it has applied. */
     private record Reason(String text, GroupTerm term, Duration since) {}
 
@@ -50,23 +61,11 @@
     /**
      * Returns the reason for a failover if one is to be started now. Counts as an attempt.
      *
-     * @param term the current term of the group in the term record
-     * @param members the endpoints of the group
-     * @param votedOut whether this daemon and enough others have voted that they cannot reach the primary
-     * @param locked whether a daemon holds the failover lock of the group
      * @param turn how long this daemon waits for the daemons before it
      * @param running whether this daemon already runs a failover of the group
      */
-    public Optional<String> due(
-            GroupName group,
-            GroupTerm term,
-            Map<EndpointName, EndpointEntry> members,
-            boolean votedOut,
-            boolean locked,
-            Duration turn,
-            boolean running,
-            Duration now) {
-        Optional<String> text = replacementReason(term, members, votedOut);
+    public Optional<String> due(GroupName group, Situation situation, Duration turn, boolean running, Duration now) {
+        Optional<String> text = replacementReason(situation);
         if (text.isEmpty()) {
             reasons.remove(group);
             return text;
@@ -74,11 +73,11 @@
         Reason reason = reasons.get(group);
         if (reason == null
                 || !reason.text().equals(text.get())
-                || !reason.term().equals(term)) {
-            reason = new Reason(text.get(), term, now);
+                || !reason.term().equals(situation.term())) {
+            reason = new Reason(text.get(), situation.term(), now);
             reasons.put(group, reason);
         }
-        Duration delay = startDelay(term, members, votedOut, locked).plus(turn);
+        Duration delay = startDelay(situation).plus(turn);
         Duration attemptedAt = lastAttemptAt.get(group);
         boolean recent =
                 attemptedAt != null && attemptedAt.plus(ATTEMPT_INTERVAL).compareTo(now) > 0;
@@ -89,18 +88,17 @@
         return text;
     }
 
-    private static Optional<String> replacementReason(
-            GroupTerm term, Map<EndpointName, EndpointEntry> members, boolean votedOut) {
-        EndpointEntry primary = members.get(term.primary());
-        if (members.isEmpty()) {
+    private static Optional<String> replacementReason(Situation situation) {
+        EndpointEntry primary = situation.members().get(situation.term().primary());
+        if (situation.members().isEmpty()) {
             return Optional.empty();
-        } else if (term.phase() != TermPhase.OPEN) {
+        } else if (situation.term().phase() != TermPhase.OPEN) {
             return Optional.of("an earlier failover did not end");
         } else if (primary == null) {
             return Optional.of("the primary has left the directory");
         } else if (primary.draining()) {
             return Optional.of("the primary is leaving");
-        } else if (votedOut) {
+        } else if (situation.votedOut()) {
             return Optional.of("a majority of the daemons cannot reach the primary");
         } else if (primary.role() == EndpointRole.REPLICA) {
             return Optional.of("the primary has become a replica");
@@ -108,13 +106,12 @@
         return Optional.empty();
     }
 
-    private static Duration startDelay(
-            GroupTerm term, Map<EndpointName, EndpointEntry> members, boolean votedOut, boolean locked) {
-        if (term.phase() != TermPhase.OPEN) {
-            return locked ? STALL_TIMEOUT : TAKEOVER_DELAY;
+    private static Duration startDelay(Situation situation) {
+        if (situation.term().phase() != TermPhase.OPEN) {
+            return situation.locked() ? STALL_TIMEOUT : TAKEOVER_DELAY;
         }
-        EndpointEntry primary = members.get(term.primary());
-        boolean roleDiffers = primary != null && !primary.draining() && !votedOut;
+        EndpointEntry primary = situation.members().get(situation.term().primary());
+        boolean roleDiffers = primary != null && !primary.draining() && !situation.votedOut();
         return roleDiffers ? CONTRADICTION_DELAY : Duration.ZERO;
     }
 }
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/FailoverTriggerTest.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/FailoverTriggerTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.lavenderwick.core.catalog.EndpointEntry;
 import org.lavenderwick.core.catalog.EndpointRole;
+import org.lavenderwick.core.failover.FailoverTrigger.Situation;
 import org.lavenderwick.core.model.EndpointName;
 import org.lavenderwick.core.model.FailureDomain;
 import org.lavenderwick.core.model.GroupName;
@@ -40,7 +41,7 @@
     private static final Map<EndpointName, EndpointEntry> SOUND = members(false, EndpointRole.PRIMARY);
 
     private Optional<String> due(boolean votedOut, long turn, long now) {
-        return trigger.due(GROUP, OPEN, SOUND, votedOut, false, at(turn), false, at(now));
+        return trigger.due(GROUP, new Situation(OPEN, SOUND, votedOut, false), at(turn), false, at(now));
     }
 
     @Test
@@ -52,11 +53,11 @@
     void firstOwnerStartsAtOnceAndALaterOneInItsTurn() {
         assertThat(due(true, 0, 0)).isPresent();
         FailoverTrigger later = FailoverTrigger.create();
-        assertThat(later.due(GROUP, OPEN, SOUND, true, false, at(480), false, at(0)))
+        assertThat(later.due(GROUP, new Situation(OPEN, SOUND, true, false), at(480), false, at(0)))
                 .isEmpty();
-        assertThat(later.due(GROUP, OPEN, SOUND, true, false, at(480), false, at(479)))
+        assertThat(later.due(GROUP, new Situation(OPEN, SOUND, true, false), at(480), false, at(479)))
                 .isEmpty();
-        assertThat(later.due(GROUP, OPEN, SOUND, true, false, at(480), false, at(480)))
+        assertThat(later.due(GROUP, new Situation(OPEN, SOUND, true, false), at(480), false, at(480)))
                 .isPresent();
     }
 
@@ -73,23 +74,28 @@
     void attemptIsNotRepeatedWhileItRunsOrSoonAfter() {
         assertThat(due(true, 0, 0)).isPresent();
         assertThat(due(true, 0, 699)).isEmpty();
-        assertThat(trigger.due(GROUP, OPEN, SOUND, true, false, at(0), true, at(700)))
+        assertThat(trigger.due(GROUP, new Situation(OPEN, SOUND, true, false), at(0), true, at(700)))
                 .isEmpty();
         assertThat(due(true, 0, 700)).isPresent();
     }
 
     @Test
     void leavingPrimaryIsReplacedAtOnce() {
-        assertThat(trigger.due(GROUP, OPEN, members(true, EndpointRole.PRIMARY), false, false, at(0), false, at(0)))
+        assertThat(trigger.due(
+                        GROUP,
+                        new Situation(OPEN, members(true, EndpointRole.PRIMARY), false, false),
+                        at(0),
+                        false,
+                        at(0)))
                 .contains("the primary is leaving");
     }
 
     @Test
     void primaryThatReportsItselfAsReplicaIsReplacedAfterAWhile() {
         Map<EndpointName, EndpointEntry> members = members(false, EndpointRole.REPLICA);
-        assertThat(trigger.due(GROUP, OPEN, members, false, false, at(0), false, at(0)))
+        assertThat(trigger.due(GROUP, new Situation(OPEN, members, false, false), at(0), false, at(0)))
                 .isEmpty();
-        assertThat(trigger.due(GROUP, OPEN, members, false, false, at(0), false, at(1500)))
+        assertThat(trigger.due(GROUP, new Situation(OPEN, members, false, false), at(0), false, at(1500)))
                 .isPresent();
     }
 
@@ -97,11 +103,11 @@
     @Test
     void unfinishedFailoverIsTakenOverLaterIfItsLockIsHeld() {
         GroupTerm closing = OPEN.withPhase(TermPhase.CLOSING, PRIMARY, 9);
-        assertThat(trigger.due(GROUP, closing, SOUND, false, true, at(0), false, at(0)))
+        assertThat(trigger.due(GROUP, new Situation(closing, SOUND, false, true), at(0), false, at(0)))
                 .isEmpty();
-        assertThat(trigger.due(GROUP, closing, SOUND, false, true, at(0), false, at(3499)))
+        assertThat(trigger.due(GROUP, new Situation(closing, SOUND, false, true), at(0), false, at(3499)))
                 .isEmpty();
-        assertThat(trigger.due(GROUP, closing, SOUND, false, false, at(0), false, at(3499)))
+        assertThat(trigger.due(GROUP, new Situation(closing, SOUND, false, false), at(0), false, at(3499)))
                 .isPresent();
     }
 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FailoverManager.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FailoverManager.java
@@ -52,16 +52,9 @@
      *
      * @param turn how long this daemon waits for the daemons before it
      */
-    void startIfDue(
-            GroupName group,
-            GroupTerm term,
-            Map<EndpointName, EndpointEntry> members,
-            boolean votedOut,
-            boolean locked,
-            Duration turn,
-            Duration now) {
-        trigger.due(group, term, members, votedOut, locked, turn, running.containsKey(group), now)
-                .ifPresent(reason -> start(group, term, members, reason));
+    void startIfDue(GroupName group, FailoverTrigger.Situation situation, Duration turn, Duration now) {
+        trigger.due(group, situation, turn, running.containsKey(group), now)
+                .ifPresent(reason -> start(group, situation.term(), situation.members(), reason));
     }
 
     private void start(GroupName group, GroupTerm term, Map<EndpointName, EndpointEntry> members, String text) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetUpkeep.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetUpkeep.java
@@ -186,7 +186,8 @@
         boolean votedOut =
                 primaryUnresponsive && unreachabilityVotes.count(group, term.primary(), storeCache) > owners.size() / 2;
         boolean locked = storeCache.entry(FailoverRun.lockKey(group)).isPresent();
-        failovers.startIfDue(group, term, members, votedOut, locked, turn(owners, FailoverTrigger.STEP), clock.now());
+        FailoverTrigger.Situation situation = new FailoverTrigger.Situation(term, members, votedOut, locked);
+        failovers.startIfDue(group, situation, turn(owners, FailoverTrigger.STEP), clock.now());
     }
 
     /** Returns how long this daemon, one of the owners, waits for those before it. */
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/FeedProtocol.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/FeedProtocol.java
@@ -54,8 +54,12 @@
 
     /** Returns the revision that a subscriber has; empty if the line is not a valid subscription. */
     static Optional<Long> parseSubscription(String line) {
-        return line.startsWith(SUBSCRIBE_PREFIX)
-                ? Optional.ofNullable(Longs.tryParse(line.substring(SUBSCRIBE_PREFIX.length())))
+        return parseNumber(line, SUBSCRIBE_PREFIX);
+    }
+
+    private static Optional<Long> parseNumber(String line, String prefix) {
+        return line.startsWith(prefix)
+                ? Optional.ofNullable(Longs.tryParse(line.substring(prefix.length())))
                 : Optional.empty();
     }
 
@@ -102,9 +106,7 @@
 
     /** Returns the number of a request for a confirmation; empty if the line is not a valid one. */
     static Optional<Long> parseConfirmationRequest(String line) {
-        return line.startsWith(CONFIRM_PREFIX)
-                ? Optional.ofNullable(Longs.tryParse(line.substring(CONFIRM_PREFIX.length())))
-                : Optional.empty();
+        return parseNumber(line, CONFIRM_PREFIX);
     }
 
     /** Returns the line that carries a confirmation; its age is sent in milliseconds, rounded up. */
--- a/lavenderwick-standins/src/test/java/org/lavenderwick/standins/EndpointFreshnessTest.java
+++ b/lavenderwick-standins/src/test/java/org/lavenderwick/standins/EndpointFreshnessTest.java
@@ -2,32 +2,29 @@
 
 import java.time.Duration;
 
-import io.vavr.control.Either;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.lavenderwick.adapters.endpoint.EndpointConnection;
 import org.lavenderwick.adapters.endpoint.EndpointOutcome;
-import org.lavenderwick.adapters.endpoint.EndpointReply;
-import org.lavenderwick.core.error.Failure;
 import org.lavenderwick.core.model.Term;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.lavenderwick.standins.TestFleet.ADD;
 import static org.lavenderwick.standins.TestFleet.FIRST;
+import static org.lavenderwick.standins.TestFleet.GET;
 import static org.lavenderwick.standins.TestFleet.PATIENCE;
 import static org.lavenderwick.standins.TestFleet.SECOND;
 import static org.lavenderwick.standins.TestFleet.SHORT;
 import static org.lavenderwick.standins.TestFleet.THIRD;
 import static org.lavenderwick.standins.TestFleet.await;
+import static org.lavenderwick.standins.TestFleet.outcome;
 import static org.lavenderwick.standins.TestFleet.results;
 import static org.lavenderwick.standins.TestFleet.until;
 
 /** Tests how old the data of an endpoint stand-in are, and what it says of them. */
 class EndpointFreshnessTest {
 
-    private static final String ADD = "[{'op':'add','key':'a','amount':1}]";
-    private static final String GET = "[{'op':'get','key':'a'}]";
-
     private TestFleet fleet;
 
     @BeforeEach
@@ -40,10 +37,6 @@
         fleet.close();
     }
 
-    private static EndpointOutcome outcome(Either<Failure, EndpointReply> reply) {
-        return reply.get().outcome();
-    }
-
     /** Guards against a replica that serves a session or a bounded read from old data. */
     @Test
     void replicaBehindRefuses() throws Exception {
--- a/lavenderwick-standins/src/test/java/org/lavenderwick/standins/EndpointServerTest.java
+++ b/lavenderwick-standins/src/test/java/org/lavenderwick/standins/EndpointServerTest.java
@@ -22,19 +22,20 @@
 import org.lavenderwick.core.model.Term;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.lavenderwick.standins.TestFleet.ADD;
 import static org.lavenderwick.standins.TestFleet.FIRST;
+import static org.lavenderwick.standins.TestFleet.GET;
 import static org.lavenderwick.standins.TestFleet.PATIENCE;
 import static org.lavenderwick.standins.TestFleet.SECOND;
 import static org.lavenderwick.standins.TestFleet.SHORT;
 import static org.lavenderwick.standins.TestFleet.THIRD;
 import static org.lavenderwick.standins.TestFleet.await;
+import static org.lavenderwick.standins.TestFleet.outcome;
 import static org.lavenderwick.standins.TestFleet.results;
 import static org.lavenderwick.standins.TestFleet.until;
 
 class EndpointServerTest {
 
-    private static final String ADD = "[{'op':'add','key':'a','amount':1}]";
-    private static final String GET = "[{'op':'get','key':'a'}]";
     private static final String NONE = "[]";
 
     private TestFleet fleet;
@@ -49,10 +50,6 @@
         fleet.close();
     }
 
-    private static EndpointOutcome outcome(Either<Failure, EndpointReply> reply) {
-        return reply.get().outcome();
-    }
-
     @Nested
     class Connections {
 
--- a/lavenderwick-standins/src/test/java/org/lavenderwick/standins/TestFleet.java
+++ b/lavenderwick-standins/src/test/java/org/lavenderwick/standins/TestFleet.java
@@ -14,6 +14,7 @@
 
 import io.vavr.control.Either;
 import org.lavenderwick.adapters.endpoint.EndpointConnection;
+import org.lavenderwick.adapters.endpoint.EndpointOutcome;
 import org.lavenderwick.adapters.endpoint.EndpointReply;
 import org.lavenderwick.adapters.endpoint.EndpointRequest;
 import org.lavenderwick.adapters.endpoint.HttpEndpointPort;
@@ -47,6 +48,11 @@
     static final EndpointName FIRST = EndpointName.of("ledger-1");
     static final EndpointName SECOND = EndpointName.of("ledger-2");
     static final EndpointName THIRD = EndpointName.of("ledger-3");
+    /** Operations that add one to an item, and that read it. */
+    static final String ADD = "[{'op':'add','key':'a','amount':1}]";
+
+    static final String GET = "[{'op':'get','key':'a'}]";
+
     static final int CONNECTION_LIMIT = 3;
 
     private final List<HistoryEvent> history = new ArrayList<>();
@@ -144,6 +150,10 @@
         }
     }
 
+    static EndpointOutcome outcome(Either<Failure, EndpointReply> reply) {
+        return reply.get().outcome();
+    }
+
     static String results(Either<Failure, EndpointReply> reply) {
         return new String(reply.get().results().orElseThrow(), StandardCharsets.UTF_8);
     }
