Agree on the interfaces of client accounts, and plan the parts

Cause: the session path knows no client accounts. The configuration's accounts, keys and limits are dropped and every endpoint connection carries one fixed account, so on a deployment with accounts almost every statement runs for the wrong one. Several parts will be built side by side and need the same types.

Nothing uses the types yet, so no deployment behaves differently.

--- a/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/session/EndpointCodec.java
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/session/EndpointCodec.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 
 import io.vavr.control.Either;
+import org.lavenderwick.core.account.AccountName;
 import org.lavenderwick.core.error.Failure;
 import org.lavenderwick.core.failover.EndpointReport;
 import org.lavenderwick.core.model.EndpointName;
@@ -14,8 +15,12 @@
 /** The messages between the daemon and endpoints, one line each, without the line end. */
 public interface EndpointCodec {
 
-    /** Returns the line that opens a connection; any other endpoint at the address refuses it. */
-    String connect(GroupName group, EndpointName expected);
+    /**
+     * Returns the line that opens a connection; any other endpoint at the address refuses it.
+     *
+     * @param account the client account that the connection belongs to; empty for the daemon's own
+     */
+    String connect(GroupName group, Optional<AccountName> account, EndpointName expected);
 
     /** Returns the line that prepares the state of a connection. */
     String setup(SetupStep step);
--- a/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/SessionSettings.java
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/SessionSettings.java
@@ -3,8 +3,10 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 import com.google.common.collect.ImmutableList;
+import org.lavenderwick.core.account.RateLimitBounds;
 import org.lavenderwick.core.model.DaemonName;
 import org.lavenderwick.core.model.FailureDomain;
 
@@ -21,6 +23,7 @@
  * @param promotionAddress where promotions are ordered
  * @param changeBound time in which a change of the configuration must be in force
  * @param stopTime time between the request to stop and the forced end of the process
+ * @param rateLimits how exactly the rate limits of client accounts are kept; empty if they are not limited
  */
 public record SessionSettings(
         DaemonName daemon,
@@ -32,7 +35,8 @@
         InetSocketAddress storeAddress,
         InetSocketAddress promotionAddress,
         Duration changeBound,
-        Duration stopTime) {
+        Duration stopTime,
+        Optional<RateLimitBounds> rateLimits) {
 
     /** Copies the list. */
     public SessionSettings {
--- a/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/SessionSettingsLoader.java
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/SessionSettingsLoader.java
@@ -3,8 +3,10 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 import io.vavr.control.Either;
+import org.lavenderwick.core.account.RateLimitBounds;
 import org.lavenderwick.core.model.DaemonName;
 import org.lavenderwick.core.model.FailureDomain;
 
@@ -18,6 +20,12 @@
     /** Bound of the configuration guarantee in the users' brief: in force everywhere within seconds. */
     private static final Duration DEFAULT_CHANGE_BOUND = Duration.ofSeconds(3);
 
+    private static final Duration MAX_RATE_LIMIT_WINDOW = Duration.ofMinutes(10);
+
+    private static final double MAX_RATE_LIMIT_EXCESS = 10;
+
+    private static final double MAX_RATE_LIMIT_SLACK = 1e6;
+
     private static final String ADDRESS = "an IP address and port such as 127.0.1.1:7000";
 
     private SessionSettingsLoader() {}
@@ -43,6 +51,7 @@
         String promotion = reader.text("promotionAddress", ADDRESS, Addresses::isIpAndPort);
         Duration changeBound = reader.millis("configurationMs", MAX_CHANGE_BOUND, DEFAULT_CHANGE_BOUND);
         Duration stopTime = reader.seconds("stopSeconds", MAX_STOP_TIME);
+        Optional<RateLimitBounds> rateLimits = readRateLimits(reader);
         reader.finish();
         if (!problems.isEmpty()) {
             return null;
@@ -57,6 +66,19 @@
                 Addresses.socketAddress(store),
                 Addresses.socketAddress(promotion),
                 changeBound,
-                stopTime);
+                stopTime,
+                rateLimits);
+    }
+
+    private static Optional<RateLimitBounds> readRateLimits(SettingsReader reader) {
+        if (!reader.has("rateLimits")) {
+            return Optional.empty();
+        }
+        SettingsReader limits = reader.object("rateLimits");
+        Duration window = limits.seconds("windowSeconds", MAX_RATE_LIMIT_WINDOW);
+        double excess = limits.number("excess", 0, MAX_RATE_LIMIT_EXCESS);
+        double slack = limits.number("slack", 0, MAX_RATE_LIMIT_SLACK);
+        limits.finish();
+        return Optional.of(new RateLimitBounds(window, excess, slack));
     }
 }
--- a/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/SettingsReader.java
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/SettingsReader.java
@@ -90,6 +90,26 @@
         return Duration.ofMillis((long) (value.doubleValue() * MILLIS_PER_SECOND));
     }
 
+    /** Returns a required number, whole or not, in a range. */
+    double number(String key, double min, double max) {
+        JsonNode value = take(key);
+        String expected = "; expected a number from " + min + " to " + max;
+        if (value == null) {
+            report(key, "is missing" + expected);
+            return min;
+        }
+        if (!value.isNumber() || value.doubleValue() < min || value.doubleValue() > max) {
+            report(key, "is " + value + expected);
+            return min;
+        }
+        return value.doubleValue();
+    }
+
+    /** Returns whether a key is present. */
+    boolean has(String key) {
+        return node.has(key);
+    }
+
     /** Returns an optional list of texts for which the rule holds; empty by default. */
     List<String> texts(String key, String expected, Predicate<String> rule) {
         List<String> texts = new ArrayList<>();
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/catalog/Catalog.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/catalog/Catalog.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import com.google.common.collect.ImmutableMap;
+import org.lavenderwick.core.account.AccountDirectory;
 import org.lavenderwick.core.model.GroupName;
 
 /**
@@ -14,12 +15,14 @@
  * @param databases the route of each database, by database name
  * @param maxConnections maximum number of connections to one endpoint, from all daemons together, by group
  * @param transactionIdleTimeout idle time after which an open transaction may be rolled back
+ * @param accounts the client accounts; empty if the configuration names none, and callers then need no key
  */
 public record Catalog(
         long version,
         Map<String, DatabaseRoute> databases,
         Map<GroupName, Integer> maxConnections,
-        Duration transactionIdleTimeout) {
+        Duration transactionIdleTimeout,
+        AccountDirectory accounts) {
 
     /** Copies the maps. */
     public Catalog {
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/catalog/DatabaseRoute.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/catalog/DatabaseRoute.java
@@ -14,6 +14,7 @@
  * @param statementTimeout maximum time from the arrival of a statement to its response
  * @param latencyTarget target for the time from the arrival of an operation to its response
  * @param priority priority of the work; 0 is the most urgent
+ * @param isPublic whether callers need no key, although the configuration names client accounts
  */
 public record DatabaseRoute(
         String database,
@@ -22,4 +23,5 @@
         Duration maxStaleness,
         Duration statementTimeout,
         Duration latencyTarget,
-        int priority) {}
+        int priority,
+        boolean isPublic) {}
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/catalog/RouteOriginTest.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/catalog/RouteOriginTest.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
+import org.lavenderwick.core.account.AccountDirectory;
 import org.lavenderwick.core.model.GroupName;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -23,8 +24,10 @@
                 Duration.ZERO,
                 Duration.ofSeconds(1),
                 Duration.ofSeconds(1),
-                0);
-        return Optional.of(new Catalog(version, Map.of("orders", route), Map.of(), Duration.ofSeconds(1)));
+                0,
+                false);
+        return Optional.of(
+                new Catalog(version, Map.of("orders", route), Map.of(), Duration.ofSeconds(1), AccountDirectory.EMPTY));
     }
 
     @Test
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/EndpointControlClient.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/EndpointControlClient.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 import io.vavr.control.Either;
 import org.jboss.logging.Logger;
@@ -93,7 +94,7 @@
                         socket,
                         new BufferedReader(
                                 new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1)));
-                connection.send(codec.connect(endpoint.group(), endpoint.name()));
+                connection.send(codec.connect(endpoint.group(), Optional.empty(), endpoint.name()));
                 connection.readResponse(codec);
                 return connection;
             } catch (IOException e) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerSession.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerSession.java
@@ -8,6 +8,7 @@
 import org.lavenderwick.adapters.session.CallerCodec;
 import org.lavenderwick.adapters.session.CallerMessage;
 import org.lavenderwick.adapters.session.SessionState;
+import org.lavenderwick.core.account.AccountName;
 import org.lavenderwick.core.admission.Access;
 import org.lavenderwick.core.catalog.DatabaseRoute;
 import org.lavenderwick.core.catalog.ReadConsistency;
@@ -33,6 +34,7 @@
     private final SessionContext context = SessionContext.create();
     private LineConnection line;
     private String database;
+    private Optional<AccountName> account = Optional.empty();
     private TransactionState transaction = TransactionState.NONE;
     private boolean readOnly;
     private DatabaseRoute transactionRoute;
@@ -60,6 +62,11 @@
         responseWriter.attach(connection);
     }
 
+    /** Returns the client account of the caller; empty if the configuration names none or the database is public. */
+    Optional<AccountName> account() {
+        return account;
+    }
+
     SessionContext context() {
         return context;
     }
@@ -266,7 +273,7 @@
                             .map(latest -> LogPoint.max(latest, point))
                             .orElse(point)));
         }
-        if (isCurrent(pending)) {
+        if (current == pending) {
             responseWriter.sendSuccess(response.rows(), response.digest(), state(), response.position());
             finishCurrent();
         }
@@ -278,7 +285,7 @@
             releaseTransaction();
             transaction = pending.isCommit() ? TransactionState.NONE : TransactionState.FAILED;
         }
-        if (isCurrent(pending)) {
+        if (current == pending) {
             responseWriter.sendFailure(Optional.of(pending), failure, state());
             finishCurrent();
         }
@@ -340,10 +347,6 @@
         }
     }
 
-    private boolean isCurrent(PendingStatement pending) {
-        return current == pending;
-    }
-
     private void finishCurrent() {
         current = null;
         lastActiveAt = loop.now();
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EndpointConnection.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EndpointConnection.java
@@ -278,7 +278,7 @@
 
     @Override
     public void onConnected() {
-        line.send(codec.connect(endpoint.group(), endpoint.name()));
+        line.send(codec.connect(endpoint.group(), Optional.empty(), endpoint.name()));
     }
 
     @Override
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/PendingStatement.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/PendingStatement.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.lavenderwick.core.account.AccountName;
 import org.lavenderwick.core.catalog.DatabaseRoute;
 import org.lavenderwick.core.failover.ProvenPrimary;
 import org.lavenderwick.core.model.EndpointName;
@@ -80,6 +81,11 @@
         return session;
     }
 
+    /** Returns the client account that the statement runs for; empty if the session has none. */
+    Optional<AccountName> account() {
+        return session.account();
+    }
+
     String id() {
         return id;
     }
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionFleet.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionFleet.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -151,7 +152,8 @@
                 door.address(),
                 database.ordersAddress(),
                 MAX_CONFIGURATION_DELAY,
-                Duration.ofSeconds(6)));
+                Duration.ofSeconds(6),
+                Optional.empty()));
         Member member = new Member(daemon, address, readinessAddress, peerAddress, door);
         members.add(member);
         return member;
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/fleet/StoreCacheTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/fleet/StoreCacheTest.java
@@ -7,6 +7,7 @@
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.lavenderwick.core.account.AccountDirectory;
 import org.lavenderwick.core.catalog.Catalog;
 import org.lavenderwick.core.catalog.EndpointEntry;
 import org.lavenderwick.core.catalog.EndpointRole;
@@ -38,7 +39,8 @@
     }
 
     private static StoreChange catalog(long version) {
-        return new StoreChange.CatalogChanged(new Catalog(version, Map.of(), Map.of(), Duration.ofSeconds(3)));
+        return new StoreChange.CatalogChanged(
+                new Catalog(version, Map.of(), Map.of(), Duration.ofSeconds(3), AccountDirectory.EMPTY));
     }
 
     @Nested
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/AdmissionTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/AdmissionTest.java
@@ -24,7 +24,14 @@
 
     private static PendingStatement pendingStatement(long arrivedAt, long timeoutMillis) {
         DatabaseRoute route = new DatabaseRoute(
-                "orders", GroupName.of("db"), ReadConsistency.PRIMARY, Duration.ZERO, at(timeoutMillis), at(400), 0);
+                "orders",
+                GroupName.of("db"),
+                ReadConsistency.PRIMARY,
+                Duration.ZERO,
+                at(timeoutMillis),
+                at(400),
+                0,
+                false);
         return new PendingStatement(
                 null,
                 "q",
