Add commands that show the client accounts

Cause: operators cannot see which accounts the active configuration names, how they are limited, or which keys they hold without reading the secret document. Ruled out: showing parts of keys; a fingerprint identifies a key and reveals nothing of it. Change: lavenderwick account list and account show NAME, read from the store. What accounts use at the moment lives in the daemons and is not shown yet.

--- a/lavenderwick-cli/src/main/java/org/lavenderwick/cli/Main.java
+++ b/lavenderwick-cli/src/main/java/org/lavenderwick/cli/Main.java
@@ -28,6 +28,8 @@
                 new DrainCommand(),
                 new PromoteCommand(),
                 new AuditCommand(),
+                new AccountListCommand(),
+                new AccountShowCommand(),
                 new FleetStatusCommand(),
                 new FleetAuditCommand(),
                 new ExplainCommand(System.in),
--- a/lavenderwick-cli/src/main/java/org/lavenderwick/cli/StoreOption.java
+++ b/lavenderwick-cli/src/main/java/org/lavenderwick/cli/StoreOption.java
@@ -28,14 +28,20 @@
 
     /** Reads the store and prints a part of the report. */
     ExitCode print(Terminal terminal, Function<FleetReport, List<String>> part) {
+        return read(terminal, content -> {
+            part.apply(FleetReport.of(content)).forEach(terminal::print);
+            return ExitCode.DONE;
+        });
+    }
+
+    /** Reads the store and passes its content to the reader, or reports that it cannot be read. */
+    ExitCode read(Terminal terminal, Function<StoreChanges, ExitCode> reader) {
         InetSocketAddress address = Addresses.socketAddress(store);
         Either<Failure, StoreChanges> read =
                 StoreClient.create(() -> address, TIMEOUT).load();
-        if (read.isLeft()) {
-            return terminal.fail(
-                    "The store cannot be read: " + read.getLeft().detail(), "Check --store and try again.");
-        }
-        part.apply(FleetReport.of(read.get())).forEach(terminal::print);
-        return ExitCode.DONE;
+        return read.fold(
+                failure ->
+                        terminal.fail("The store cannot be read: " + failure.detail(), "Check --store and try again."),
+                reader);
     }
 }
