Decode client accounts, and log which keys a version changes

Cause: the accounts of the configuration document were dropped, so no daemon knew which keys are valid.

Ruled out: the JSON parser's own message as the reason for an invalid document, since it quotes the text and thereby keys; logging an invalid entry once for ever, since a second faulty version would go unnoticed.

New error kind UNAUTHORIZED (401, NOAUTH).

--- a/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/session/CallerCodec.java
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/session/CallerCodec.java
@@ -12,6 +12,9 @@
     /** Parses a line of a caller; a failure ends the session. */
     Either<Failure, CallerMessage> parse(String line);
 
+    /** Returns a line that opens a session on a database and has a placeholder instead of the caller's credential. */
+    String connect(String database);
+
     /** Returns the line that carries one row of an answer. */
     String row(String content);
 
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/error/ErrorKind.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/error/ErrorKind.java
@@ -9,6 +9,8 @@
     MALFORMED_REQUEST(400, Execution.NOT_RUN, Retryability.USELESS),
     /** The session token or transaction handle was not issued by this fleet. */
     INVALID_TOKEN(400, Execution.NOT_RUN, Retryability.USELESS),
+    /** The key of the caller gives no access, or was withdrawn. */
+    UNAUTHORIZED(401, Execution.NOT_RUN, Retryability.USELESS),
     /** The service has no such rank. */
     UNKNOWN_RANK(400, Execution.NOT_RUN, Retryability.USELESS),
     /** The configuration contains no such service. */
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/StoreCache.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/StoreCache.java
@@ -30,7 +30,10 @@
      */
     static final Duration REMOVAL_GRACE = Duration.ofMillis(2500);
 
-    /** Maximum number of invalid entries that are logged, each once. Bounds the memory that a faulty writer can use. */
+    /**
+     * Maximum number of invalid entries that are logged, each once for a reason. Bounds the memory that a faulty writer
+     * can use.
+     */
     private static final int MAX_LOGGED_ENTRIES = 1000;
 
     /** Maximum number of endpoints, including removed ones, whose newest registration is remembered. */
@@ -113,7 +116,7 @@
     }
 
     private void logOnce(String entry, String reason) {
-        if (loggedEntries.size() < MAX_LOGGED_ENTRIES && loggedEntries.add(entry)) {
+        if (loggedEntries.size() < MAX_LOGGED_ENTRIES && loggedEntries.add(entry + " " + reason)) {
             LOG.warnf("[fleet] Ignoring the entry %s: %s.", entry, reason);
         }
     }
@@ -126,6 +129,7 @@
         LOG.infof(
                 "[fleet] Configuration %d is in force with %d databases.",
                 newCatalog.version(), newCatalog.databases().size());
+        AccountLog.logChanges(catalog.map(Catalog::accounts), newCatalog);
         catalog = Optional.of(newCatalog);
     }
 
