Bind sessions to client accounts and end those of withdrawn keys

Cause: every caller could open a session on every database, and a session outlived the withdrawal of its key.

Ruled out: a check at the owner only, since it may have an older configuration than the relaying daemon; closing sessions without an account when accounts are introduced, since their keys may be valid.

Change: a daemon hashes the key when it parses CONNECT and keeps the fingerprint only. Both ends of a relayed session check it before each request, when a configuration arrives, and at each tick until it has ended. A relay sends account and fingerprint instead of the key; an older owner that would decide otherwise declines with OUTDATED. Without accounts the opening is byte for byte as before. CallerSession is split: SessionTransaction, StatementFactory, DatabaseAccess.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
@@ -91,7 +91,8 @@
                 settings.daemon(),
                 settings.failureDomain(),
                 random,
-                ClockJumpDetector.create(clock, clocks.wall()));
+                ClockJumpDetector.create(clock, clocks.wall()),
+                settings.changeBound());
         FleetControl control = new FleetControl(
                 settings.daemon(),
                 new Peer(settings.failureDomain(), settings.peerAddress()),
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerConnection.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerConnection.java
@@ -10,7 +10,12 @@
 import org.lavenderwick.adapters.session.CallerCodec;
 import org.lavenderwick.adapters.session.CallerMessage;
 import org.lavenderwick.adapters.session.EndpointCodec;
+import org.lavenderwick.core.account.AccountName;
+import org.lavenderwick.core.account.KeyFingerprint;
+import org.lavenderwick.core.account.SessionAccess;
+import org.lavenderwick.core.account.SessionAccess.Verdict;
 import org.lavenderwick.core.catalog.RouteOrigin;
+import org.lavenderwick.core.model.GroupName;
 
 /**
  * A caller's connection. The group of the database named in the first message decides where the session is served: by
@@ -32,12 +37,13 @@
     private final EventLoop loop;
     private final boolean relayedFromPeer;
     private final Optional<RouteOrigin> origin;
+    private final Optional<RelayProtocol.RelayedKey> relayedKey;
     private final Deque<Peer> untriedOwners = new ArrayDeque<>();
-    private RouteOrigin relayOrigin;
+    private String relayOpening;
+    private DatabaseAccess access;
     private LineConnection line;
     private CallerSession localSession;
     private RelayedSession relayedSession;
-    private String firstLine;
     private Duration lastRequestAt;
 
     private CallerConnection(
@@ -46,34 +52,36 @@
             EndpointCodec endpointCodec,
             EventLoop loop,
             boolean relayedFromPeer,
-            Optional<RouteOrigin> origin) {
+            Optional<RouteOrigin> origin,
+            Optional<RelayProtocol.RelayedKey> relayedKey) {
         this.proxy = proxy;
         this.codec = codec;
         this.endpointCodec = endpointCodec;
         this.loop = loop;
         this.relayedFromPeer = relayedFromPeer;
         this.origin = origin;
+        this.relayedKey = relayedKey;
     }
 
     /** Returns the connection of a caller that has not sent any message yet. */
     static CallerConnection ofCaller(
             SessionProxy proxy, CallerCodec codec, EndpointCodec endpointCodec, EventLoop loop) {
-        return new CallerConnection(proxy, codec, endpointCodec, loop, false, Optional.empty());
+        return new CallerConnection(proxy, codec, endpointCodec, loop, false, Optional.empty(), Optional.empty());
     }
 
     /**
      * Returns the connection of a session that another daemon relays. It is served here, even if this daemon does not
      * own the group, unless the configuration of this daemon is too old for it.
      *
-     * @param origin the configuration by which it is relayed; empty if unknown
+     * @param opening the line by which it is relayed
      */
     static CallerConnection ofPeer(
             SessionProxy proxy,
             CallerCodec codec,
             EndpointCodec endpointCodec,
             EventLoop loop,
-            Optional<RouteOrigin> origin) {
-        return new CallerConnection(proxy, codec, endpointCodec, loop, true, origin);
+            RelayProtocol.Opening opening) {
+        return new CallerConnection(proxy, codec, endpointCodec, loop, true, opening.origin(), opening.key());
     }
 
     void attach(LineConnection connection) {
@@ -90,34 +98,80 @@
         if (localSession != null) {
             localSession.onLine(text);
         } else if (relayedSession != null) {
-            lastRequestAt = loop.now();
-            relayedSession.forward(text);
+            forward(text);
         } else {
             openSession(text);
         }
     }
 
+    private void forward(String text) {
+        if (access.checkRelayed(relayedSession.isInTransaction()) == Verdict.END) {
+            endRelay();
+            CallerResponseWriter writer = new CallerResponseWriter(codec, loop, proxy.requestLog());
+            writer.attach(line);
+            writer.logRejection(access.database(), SessionAccess.withdrawn());
+            writer.sendFailureAndClose(SessionAccess.withdrawn());
+            return;
+        }
+        lastRequestAt = loop.now();
+        relayedSession.forward(text);
+    }
+
     private void openSession(String text) {
-        firstLine = text;
-        Optional<String> database = requestedDatabase(text);
-        if (origin.isPresent() && origin.get().supersedes(proxy.catalog(), database)) {
+        if (codec.parse(text).getOrNull() instanceof CallerMessage.Connect connect) {
+            // The key itself is not kept.
+            access = proxy.newAccess(
+                    connect.database(),
+                    relayedKey
+                            .map(RelayProtocol.RelayedKey::fingerprint)
+                            .orElseGet(() -> KeyFingerprint.ofKey(connect.credential())));
+        }
+        if (origin.isPresent() && isOutdated(origin.get())) {
             line.send(RelayProtocol.OUTDATED);
             line.closeAfterSending();
             proxy.onSessionEnded(this);
+        } else if (access == null) {
+            newLocalSession().onLine(text);
+        } else {
+            if (!relayedFromPeer) {
+                selectOwners(text);
+            }
+            openAtNextOwner();
+        }
+    }
+
+    /** Returns whether this daemon knows less than the one that relays the session, and would decide otherwise. */
+    private boolean isOutdated(RouteOrigin relayedBy) {
+        if (relayedBy.supersedes(proxy.catalog(), Optional.ofNullable(access).map(DatabaseAccess::database))) {
+            return true;
+        }
+        Optional<AccountName> account = relayedKey.flatMap(RelayProtocol.RelayedKey::account);
+        return access != null
+                && proxy.catalog().orElseThrow().version() < relayedBy.version()
+                && !access.rules().grant(access.key()).contains(account);
+    }
+
+    private void selectOwners(String firstLine) {
+        if (access.open().isPresent()) {
             return;
         }
-        if (!relayedFromPeer) {
-            database.flatMap(name -> proxy.route(name).toJavaOptional()).ifPresent(route -> {
-                relayOrigin = new RouteOrigin(proxy.catalog().orElseThrow().version(), route.group());
-                untriedOwners.addAll(proxy.relayCandidates(route.group()));
-            });
+        GroupName group = proxy.route(access.database()).get().group();
+        RouteOrigin relayOrigin = new RouteOrigin(proxy.catalog().orElseThrow().version(), group);
+        untriedOwners.addAll(proxy.relayCandidates(group));
+        if (!untriedOwners.isEmpty()) {
+            relayOpening = access.rules().accounts().isEmpty()
+                    ? RelayProtocol.format(firstLine, relayOrigin)
+                    : RelayProtocol.format(
+                            codec.connect(access.database()),
+                            relayOrigin,
+                            new RelayProtocol.RelayedKey(access.key(), access.account()));
         }
-        openAtNextOwner();
     }
 
-    private Optional<String> requestedDatabase(String text) {
-        CallerMessage message = codec.parse(text).getOrNull();
-        return message instanceof CallerMessage.Connect connect ? Optional.of(connect.database()) : Optional.empty();
+    private CallerSession newLocalSession() {
+        localSession = new CallerSession(proxy, codec, loop, () -> proxy.onSessionEnded(this));
+        localSession.attach(line);
+        return localSession;
     }
 
     /** Relays the session to the next owner that can be connected to, or serves it here if no owner is left. */
@@ -127,7 +181,7 @@
             Peer peer = untriedOwners.removeFirst();
             try {
                 RelayedSession next = new RelayedSession(endpointCodec, this);
-                next.open(loop, peer, relayOrigin, firstLine);
+                next.open(loop, peer, relayOpening);
                 relayedSession = next;
                 lastRequestAt = loop.now();
                 // Further lines wait until an owner has accepted the session, because another one may still take over.
@@ -139,15 +193,15 @@
             }
         }
         if (relayedSession == null) {
-            localSession = new CallerSession(proxy, codec, loop, () -> proxy.onSessionEnded(this));
-            localSession.attach(line);
-            localSession.onLine(firstLine);
+            relayOpening = null;
+            newLocalSession().open(access);
             line.resume();
         }
     }
 
     @Override
     public void onResponseLine(String text) {
+        relayOpening = null;
         line.send(text);
         line.resume();
     }
@@ -177,8 +231,7 @@
     public void onMalformedLine(boolean tooLong) {
         if (localSession == null) {
             endRelay();
-            localSession = new CallerSession(proxy, codec, loop, () -> proxy.onSessionEnded(this));
-            localSession.attach(line);
+            newLocalSession();
         }
         localSession.onMalformedLine(tooLong);
     }
@@ -209,6 +262,29 @@
         }
     }
 
+    /**
+     * Ends the session if the active configuration gives its key no access, once no response is outstanding.
+     *
+     * @return whether nothing is left to be done; otherwise to be called again soon
+     */
+    boolean enforceAccess() {
+        if (localSession != null) {
+            return localSession.enforceAccess();
+        }
+        if (relayedSession == null) {
+            return true;
+        }
+        Verdict verdict = access.checkRelayed(relayedSession.isInTransaction());
+        if (verdict == Verdict.END && !relayedSession.isAwaitingResponse()) {
+            line.readArrived();
+            if (relayedSession != null) {
+                endRelay();
+                line.closeAfterSending();
+            }
+        }
+        return verdict == Verdict.GRANTED;
+    }
+
     /** Closes the session without a response, because its state is unknown after an unexpected error. */
     void abort() {
         line.close();
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerResponseWriter.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerResponseWriter.java
@@ -51,6 +51,11 @@
         sendReady(state, Optional.empty());
     }
 
+    /** Logs a failure that ends the session on a database, or keeps it from opening. */
+    void logRejection(String database, Failure failure) {
+        log.logFailure(new RequestLog.Request("-", database, loop.now()), Optional.empty(), failure);
+    }
+
     /** Sends the line that ends a response and tells the caller the state of the session. */
     void sendReady(SessionState state, Optional<LogPoint> position) {
         line.send(codec.ready(state, position));
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerSession.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerSession.java
@@ -9,12 +9,11 @@
 import org.lavenderwick.adapters.session.CallerMessage;
 import org.lavenderwick.adapters.session.SessionState;
 import org.lavenderwick.core.account.AccountName;
-import org.lavenderwick.core.admission.Access;
+import org.lavenderwick.core.account.SessionAccess;
+import org.lavenderwick.core.account.SessionAccess.Verdict;
 import org.lavenderwick.core.catalog.DatabaseRoute;
-import org.lavenderwick.core.catalog.ReadConsistency;
 import org.lavenderwick.core.error.ErrorKind;
 import org.lavenderwick.core.error.Failure;
-import org.lavenderwick.core.model.LogPoint;
 import org.lavenderwick.core.statement.PreparedStatement;
 import org.lavenderwick.core.statement.SessionContext;
 import org.lavenderwick.core.statement.Statement;
@@ -31,16 +30,13 @@
     private final CallerResponseWriter responseWriter;
     private final EventLoop loop;
     private final Runnable onEnd;
+    private final StatementFactory statements;
     private final SessionContext context = SessionContext.create();
     private LineConnection line;
     private String database;
-    private Optional<AccountName> account = Optional.empty();
-    private TransactionState transaction = TransactionState.NONE;
-    private boolean readOnly;
-    private DatabaseRoute transactionRoute;
-    private EndpointConnection transactionConnection;
+    private DatabaseAccess access;
+    private final SessionTransaction transaction = new SessionTransaction();
     private PendingStatement current;
-    private Optional<LogPoint> latestCommit = Optional.empty();
     private Duration lastActiveAt;
 
     /**
@@ -54,6 +50,7 @@
         this.responseWriter = new CallerResponseWriter(codec, loop, proxy.requestLog());
         this.loop = loop;
         this.onEnd = onEnd;
+        this.statements = new StatementFactory(this, loop);
         this.lastActiveAt = loop.now();
     }
 
@@ -64,7 +61,7 @@
 
     /** Returns the client account of the caller; empty if the configuration names none or the database is public. */
     Optional<AccountName> account() {
-        return account;
+        return access == null ? Optional.empty() : access.account();
     }
 
     SessionContext context() {
@@ -82,13 +79,15 @@
         Either<Failure, CallerMessage> message = codec.parse(text);
         if (message.isLeft()) {
             rejectAndClose(message.getLeft());
-        } else if (message.get() instanceof CallerMessage.Connect connect) {
-            connect(connect.database());
+        } else if (message.get() instanceof CallerMessage.Connect) {
+            rejectAndClose(Failure.of(ErrorKind.MALFORMED_REQUEST, "the session is open already"));
         } else if (message.get() instanceof CallerMessage.Quit) {
             end();
             line.closeAfterSending();
         } else if (database == null) {
             rejectAndClose(Failure.of(ErrorKind.MALFORMED_REQUEST, "the session is not open"));
+        } else if (access.check(transaction, true) == Verdict.END) {
+            reject(SessionAccess.withdrawn());
         } else if (message.get() instanceof CallerMessage.BadQuery bad) {
             responseWriter.beginRequest("-", database);
             sendFailure(Failure.of(ErrorKind.MALFORMED_REQUEST, bad.reason()));
@@ -97,24 +96,63 @@
         }
     }
 
-    private void connect(String name) {
-        if (database != null) {
-            rejectAndClose(Failure.of(ErrorKind.MALFORMED_REQUEST, "the session is open already"));
-            return;
+    /** Opens the session on a database, or rejects it. */
+    void open(DatabaseAccess presented) {
+        Optional<Failure> failure = presented.open();
+        database = presented.database();
+        access = presented;
+        if (failure.isEmpty()) {
+            responseWriter.sendReady(state(), Optional.empty());
+        } else {
+            reject(failure.get());
         }
-        Optional<Failure> failure = proxy.validateDatabase(name);
-        if (failure.isPresent()) {
-            rejectAndClose(failure.get());
-            return;
+    }
+
+    private void reject(Failure failure) {
+        if (failure.kind() == ErrorKind.UNAUTHORIZED) {
+            responseWriter.logRejection(database, failure);
+        }
+        rejectAndClose(failure);
+    }
+
+    /**
+     * Carries out what the active configuration says about a session whose key may have been withdrawn. A statement
+     * that is queued is rejected. One that was sent gets its response, unless its transaction has to be rolled back; a
+     * commit that was sent is never cut off, because its outcome would be unknown.
+     *
+     * @return whether nothing is left to be done; otherwise to be called again soon
+     */
+    boolean enforceAccess() {
+        Verdict verdict = access == null ? Verdict.GRANTED : access.check(transaction, current == null);
+        if (verdict == Verdict.GRANTED || verdict == Verdict.FINISH_TRANSACTION) {
+            return verdict == Verdict.GRANTED;
+        }
+        if (current == null) {
+            line.readArrived();
+            end();
+            line.closeAfterSending();
+        } else {
+            endStatement(current, verdict == Verdict.ROLL_BACK);
+        }
+        return false;
+    }
+
+    private void endStatement(PendingStatement pending, boolean rollBack) {
+        boolean queued = proxy.dispatcher(pending.route().group()).cancel(pending);
+        Failure rolledBack = Failure.of(ErrorKind.TRANSACTION_ABORTED, "the key gives no access to the transaction");
+        if (queued && rollBack) {
+            onFailed(pending, rolledBack);
+        } else if (queued) {
+            reject(SessionAccess.withdrawn());
+        } else if (rollBack && !pending.isCommit()) {
+            rejectAndClose(rolledBack);
         }
-        database = name;
-        responseWriter.sendReady(state(), Optional.empty());
     }
 
     private void query(String id, Statement statement) {
         responseWriter.beginRequest(id, database);
-        if (transaction == TransactionState.LOST && statement.kind() != StatementKind.ROLLBACK) {
-            transaction = statement.kind() == StatementKind.COMMIT ? TransactionState.NONE : TransactionState.FAILED;
+        if (transaction.state() == TransactionState.LOST && statement.kind() != StatementKind.ROLLBACK) {
+            transaction.end(statement.kind() == StatementKind.COMMIT ? TransactionState.NONE : TransactionState.FAILED);
             sendFailure(Failure.of(ErrorKind.TRANSACTION_ABORTED, "the transaction was rolled back"));
             return;
         }
@@ -137,7 +175,7 @@
     }
 
     private void completeLocally(Statement statement, boolean accepted) {
-        if (transaction == TransactionState.FAILED) {
+        if (transaction.isFailed()) {
             rejectForState();
         } else if (!accepted) {
             sendFailure(Failure.of(ErrorKind.REQUEST_TOO_LARGE, "the session holds too many values or names"));
@@ -147,7 +185,7 @@
     }
 
     private void begin(boolean beginReadOnly) {
-        if (transaction != TransactionState.NONE) {
+        if (!transaction.isNone()) {
             rejectForState();
             return;
         }
@@ -156,35 +194,34 @@
             sendFailure(route.getLeft());
             return;
         }
-        transaction = TransactionState.ANNOUNCED;
-        readOnly = beginReadOnly;
-        transactionRoute = route.get();
+        transaction.begin(route.get(), beginReadOnly);
         responseWriter.sendSuccess(List.of(), "", state(), Optional.empty());
     }
 
     private void rollBack() {
-        if (transaction == TransactionState.NONE) {
+        if (transaction.isNone()) {
             rejectForState();
             return;
         }
-        releaseTransaction();
-        transaction = TransactionState.NONE;
+        transaction.release();
+        transaction.end(TransactionState.NONE);
         responseWriter.sendSuccess(List.of(), "", state(), Optional.empty());
     }
 
     private void commit(String id, Statement statement) {
-        if (transaction == TransactionState.NONE) {
+        if (transaction.isNone()) {
             rejectForState();
-        } else if (transaction == TransactionState.FAILED) {
-            transaction = TransactionState.NONE;
+        } else if (transaction.isFailed()) {
+            transaction.end(TransactionState.NONE);
             sendFailure(Failure.of(ErrorKind.TRANSACTION_ABORTED, "the transaction had failed and is rolled back"));
         } else {
-            submit(newTransactionStatement(id, statement, Optional.empty()));
+            submit(statements.transactional(
+                    id, statement, Optional.empty(), transaction.route(), transaction.isReadOnly()));
         }
     }
 
     private void run(String id, Statement statement) {
-        if (transaction == TransactionState.FAILED) {
+        if (transaction.isFailed()) {
             rejectForState();
             return;
         }
@@ -196,8 +233,8 @@
                 return;
             }
         }
-        if (transaction != TransactionState.NONE) {
-            submit(newTransactionStatement(id, statement, prepared));
+        if (!transaction.isNone()) {
+            submit(statements.transactional(id, statement, prepared, transaction.route(), transaction.isReadOnly()));
             return;
         }
         Either<Failure, DatabaseRoute> route = proxy.route(database);
@@ -205,73 +242,45 @@
             sendFailure(route.getLeft());
             return;
         }
-        boolean writes = statement.kind() == StatementKind.WRITE
-                || prepared.filter(known -> known.access() == Access.WRITE).isPresent();
-        submit(newStatement(id, statement, prepared, route.get(), PendingStatement.Scope.SINGLE, writes));
-    }
-
-    private PendingStatement newTransactionStatement(
-            String id, Statement statement, Optional<PreparedStatement> prepared) {
-        return newStatement(id, statement, prepared, transactionRoute, PendingStatement.Scope.TRANSACTION, !readOnly);
-    }
-
-    private PendingStatement newStatement(
-            String id,
-            Statement statement,
-            Optional<PreparedStatement> prepared,
-            DatabaseRoute route,
-            PendingStatement.Scope scope,
-            boolean writes) {
-        boolean primary = writes || route.consistency() == ReadConsistency.PRIMARY;
-        return new PendingStatement(
-                this, id, statement, prepared, route, scope, writes, primary, loop.now(), requiredPoint(route));
-    }
-
-    private Optional<LogPoint> requiredPoint(DatabaseRoute route) {
-        return route.consistency() == ReadConsistency.READ_YOUR_WRITES ? latestCommit : Optional.empty();
+        submit(statements.single(id, statement, prepared, route.get()));
     }
 
     private void submit(PendingStatement pending) {
         current = pending;
         line.pause();
-        if (transactionConnection == null) {
+        if (transaction.connection() == null) {
             proxy.dispatcher(pending.route().group()).submit(pending);
             return;
         }
-        pending.recordPrimaryWhenSent(proxy.provenPrimary(pending.route().group(), transactionConnection));
+        pending.recordPrimaryWhenSent(proxy.provenPrimary(pending.route().group(), transaction.connection()));
         if (pending.commitsWrites() && pending.primaryWhenSent().isEmpty()) {
             onFailed(pending, Failure.of(ErrorKind.TRANSACTION_ABORTED, "the primary may have been replaced"));
         } else {
-            transactionConnection.run(pending, Optional.empty());
+            transaction.connection().run(pending, Optional.empty());
         }
     }
 
     /** Called before a statement is sent to an endpoint; binds a transaction to the connection. */
     void onStarted(PendingStatement pending, EndpointConnection connection) {
         if (pending.isTransactional()) {
-            transactionConnection = connection;
-            connection.reserveFor(this);
-            transaction = TransactionState.OPEN;
+            transaction.bind(connection, this);
         }
     }
 
     /** Called when a statement did not run and was queued again. */
     void onRequeued(PendingStatement pending) {
         if (pending.isTransactional()) {
-            transaction = TransactionState.ANNOUNCED;
+            transaction.onRequeued();
         }
     }
 
     /** Called when a statement succeeded; sends its result to the caller. */
     void onSucceeded(PendingStatement pending, EndpointResponse response) {
         if (pending.isCommit()) {
-            transaction = TransactionState.NONE;
+            transaction.end(TransactionState.NONE);
         }
         if (pending.commitsWrites()) {
-            response.position()
-                    .ifPresent(point -> latestCommit = Optional.of(latestCommit
-                            .map(latest -> LogPoint.max(latest, point))
-                            .orElse(point)));
+            response.position().ifPresent(statements::recordCommit);
         }
         if (current == pending) {
             responseWriter.sendSuccess(response.rows(), response.digest(), state(), response.position());
@@ -282,8 +291,8 @@
     /** Called when a statement was rejected, failed or has an unknown outcome; sends the failure to the caller. */
     void onFailed(PendingStatement pending, Failure failure) {
         if (pending.isTransactional()) {
-            releaseTransaction();
-            transaction = pending.isCommit() ? TransactionState.NONE : TransactionState.FAILED;
+            transaction.release();
+            transaction.end(pending.isCommit() ? TransactionState.NONE : TransactionState.FAILED);
         }
         if (current == pending) {
             responseWriter.sendFailure(Optional.of(pending), failure, state());
@@ -292,38 +301,34 @@
     }
 
     private void failTransaction(Failure failure) {
-        if (transaction != TransactionState.NONE) {
-            releaseTransaction();
-            transaction = TransactionState.FAILED;
+        if (!transaction.isNone()) {
+            transaction.release();
+            transaction.end(TransactionState.FAILED);
         }
         sendFailure(failure);
     }
 
     /** Called when the endpoint connection is no longer reserved, because the transaction has ended or not begun. */
     void onConnectionReleased() {
-        transactionConnection = null;
+        transaction.onConnectionReleased();
     }
 
     /** Called when the endpoint connection of the transaction closed while no statement was running. */
     void onTransactionLost() {
-        transactionConnection = null;
-        if (transaction == TransactionState.OPEN) {
-            transaction = TransactionState.LOST;
-        }
+        transaction.onConnectionLost();
     }
 
     /** Rolls back the transaction if the caller has sent no statement for at least {@code timeout}. */
     void abortIfIdle(Duration timeout) {
         boolean idle = current == null && lastActiveAt.plus(timeout).compareTo(loop.now()) <= 0;
-        if (idle && (transaction == TransactionState.OPEN || transaction == TransactionState.ANNOUNCED)) {
-            releaseTransaction();
-            transaction = TransactionState.LOST;
+        if (idle && transaction.isOpen()) {
+            transaction.lose();
         }
     }
 
     /** Closes the session if it has neither a running statement nor a transaction. Returns whether it was closed. */
     boolean closeIfIdle() {
-        if (current != null || transaction != TransactionState.NONE) {
+        if (current != null || !transaction.isNone()) {
             return false;
         }
         end();
@@ -333,17 +338,8 @@
 
     /** Rolls back the transaction unless one of its statements is in progress. Called when the daemon stops. */
     void abortTransaction() {
-        if (current == null && (transaction == TransactionState.OPEN || transaction == TransactionState.ANNOUNCED)) {
-            releaseTransaction();
-            transaction = TransactionState.LOST;
-        }
-    }
-
-    private void releaseTransaction() {
-        if (transactionConnection != null) {
-            EndpointConnection connection = transactionConnection;
-            transactionConnection = null;
-            connection.rollBack();
+        if (current == null && transaction.isOpen()) {
+            transaction.lose();
         }
     }
 
@@ -362,11 +358,7 @@
     }
 
     private SessionState state() {
-        return switch (transaction) {
-            case NONE -> SessionState.IDLE;
-            case ANNOUNCED, OPEN, LOST -> SessionState.IN_TRANSACTION;
-            case FAILED -> SessionState.FAILED;
-        };
+        return transaction.sessionState();
     }
 
     private void rejectAndClose(Failure failure) {
@@ -395,6 +387,6 @@
             pending.abandon();
             proxy.dispatcher(pending.route().group()).cancel(pending);
         }
-        releaseTransaction();
+        transaction.release();
     }
 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GroupDispatcher.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GroupDispatcher.java
@@ -160,9 +160,9 @@
                 .sum();
     }
 
-    /** Removes a statement from the queue because its caller has disconnected. */
-    void cancel(PendingStatement pending) {
-        queue.remove(pending);
+    /** Removes a statement from the queue; returns false if it is not queued, because it was sent already. */
+    boolean cancel(PendingStatement pending) {
+        return queue.remove(pending);
     }
 
     /** Returns a statement to the queue, to be sent again after a delay. */
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/IncomingPeerConnection.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/IncomingPeerConnection.java
@@ -2,8 +2,6 @@
 
 import java.util.Optional;
 
-import org.lavenderwick.core.catalog.RouteOrigin;
-
 /**
  * A connection accepted from another daemon. Its first line either subscribes to the feed of store changes, on which
  * confirmations may then be requested, or opens a relayed session. Confined to the traffic thread.
@@ -43,12 +41,12 @@
             feed.confirmLease(line, confirmation.get());
         } else {
             RelayProtocol.Opening opening = RelayProtocol.parse(text);
-            openSession(opening.origin()).onLine(opening.firstLine());
+            openSession(opening).onLine(opening.firstLine());
         }
     }
 
-    private CallerConnection openSession(Optional<RouteOrigin> origin) {
-        session = proxy.newRelayedSession(origin);
+    private CallerConnection openSession(RelayProtocol.Opening opening) {
+        session = proxy.newRelayedSession(opening);
         session.attach(line);
         return session;
     }
@@ -64,7 +62,7 @@
     @Override
     public void onMalformedLine(boolean tooLong) {
         feed.unsubscribe(line);
-        CallerConnection opened = session == null ? openSession(Optional.empty()) : session;
+        CallerConnection opened = session == null ? openSession(RelayProtocol.parse("")) : session;
         opened.onMalformedLine(tooLong);
     }
 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/RelayedSession.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/RelayedSession.java
@@ -7,7 +7,6 @@
 import org.lavenderwick.adapters.session.EndpointCodec;
 import org.lavenderwick.adapters.session.EndpointMessage;
 import org.lavenderwick.adapters.session.SessionState;
-import org.lavenderwick.core.catalog.RouteOrigin;
 import org.lavenderwick.core.error.Failure;
 
 /**
@@ -44,13 +43,11 @@
     }
 
     /**
-     * Starts to connect to an owner and queues the caller's first line, which opens the session there.
-     *
-     * @param origin the configuration by which the owner was selected
+     * Starts to connect to an owner and queues the line that opens the session there, see {@link RelayProtocol}.
      */
-    void open(EventLoop loop, Peer peer, RouteOrigin origin, String firstLine) throws IOException {
+    void open(EventLoop loop, Peer peer, String opening) throws IOException {
         owner = LineConnection.connect(loop, peer.address(), new OwnerListener());
-        owner.send(RelayProtocol.format(firstLine, origin));
+        owner.send(opening);
     }
 
     /** Forwards a line of the caller to the owner. */
@@ -69,6 +66,11 @@
         return accepted;
     }
 
+    /** Returns whether a transaction was open at the last response of the owner. */
+    boolean isInTransaction() {
+        return inTransaction;
+    }
+
     /** Returns whether a response is outstanding or a transaction is open. */
     boolean isBusy() {
         return awaitingResponse || inTransaction;
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
@@ -21,9 +21,12 @@
 import org.jboss.logging.Logger;
 import org.lavenderwick.adapters.session.CallerCodec;
 import org.lavenderwick.adapters.session.EndpointCodec;
+import org.lavenderwick.core.account.AccessRules;
+import org.lavenderwick.core.account.AccountDirectory;
+import org.lavenderwick.core.account.KeyFingerprint;
+import org.lavenderwick.core.account.SessionAccess;
 import org.lavenderwick.core.catalog.Catalog;
 import org.lavenderwick.core.catalog.DatabaseRoute;
-import org.lavenderwick.core.catalog.RouteOrigin;
 import org.lavenderwick.core.error.ErrorKind;
 import org.lavenderwick.core.error.Failure;
 import org.lavenderwick.core.failover.LeaseConfirmation;
@@ -54,10 +57,12 @@
     private final FailureDomain domain;
     private final RandomGenerator random;
     private final ClockJumpDetector clockJumpDetector;
+    private final Duration configurationBound;
     private final StoreFeed feed;
     private final RequestLog requestLog;
     private final Map<GroupName, GroupDispatcher> dispatchers = new HashMap<>();
     private final Set<CallerConnection> sessions = new HashSet<>();
+    private final Set<CallerConnection> unauthorizedSessions = new HashSet<>();
     private FleetSnapshot snapshot = FleetSnapshot.EMPTY;
     private Duration evidenceDiscardedUntil = Duration.ofSeconds(-1);
     private SessionDrain drain;
@@ -67,7 +72,11 @@
     private volatile int openSessions;
     private final Random shuffleRandom;
 
-    /** Creates a proxy without sessions and registers it with the event loop. */
+    /**
+     * Creates a proxy without sessions and registers it with the event loop.
+     *
+     * @param configurationBound time in which a change of the configuration must be in force
+     */
     public SessionProxy(
             EventLoop loop,
             CallerCodec callerCodec,
@@ -75,7 +84,8 @@
             DaemonName daemon,
             FailureDomain domain,
             RandomGenerator random,
-            ClockJumpDetector clockJumpDetector) {
+            ClockJumpDetector clockJumpDetector,
+            Duration configurationBound) {
         this.loop = loop;
         this.callerCodec = callerCodec;
         this.endpointCodec = endpointCodec;
@@ -83,6 +93,7 @@
         this.domain = domain;
         this.random = random;
         this.clockJumpDetector = clockJumpDetector;
+        this.configurationBound = configurationBound;
         this.feed = new StoreFeed(loop);
         this.requestLog = new RequestLog(this::describeGroup, loop::now);
         this.shuffleRandom = new Random(random.nextLong());
@@ -98,10 +109,10 @@
     /**
      * Returns a new session that another daemon relays to this one. It is always served here.
      *
-     * @param origin the configuration by which it is relayed; empty if the other daemon did not say
+     * @param opening the line by which it is relayed
      */
-    CallerConnection newRelayedSession(Optional<RouteOrigin> origin) {
-        return register(CallerConnection.ofPeer(this, callerCodec, endpointCodec, loop, origin));
+    CallerConnection newRelayedSession(RelayProtocol.Opening opening) {
+        return register(CallerConnection.ofPeer(this, callerCodec, endpointCodec, loop, opening));
     }
 
     private CallerConnection register(CallerConnection session) {
@@ -130,13 +141,63 @@
     }
 
     private void handleSnapshot(FleetSnapshot newSnapshot) {
+        boolean sameCatalog =
+                newSnapshot.catalog().orElse(null) == snapshot.catalog().orElse(null);
         snapshot = newSnapshot;
+        if (!sameCatalog) {
+            enforceAccess(sessions);
+        }
         newSnapshot
                 .catalog()
                 .ifPresent(catalog -> catalog.maxConnections().keySet().forEach(this::dispatcher));
         dispatchers.values().forEach(dispatcher -> dispatcher.apply(newSnapshot));
     }
 
+    /** Ends the given sessions if their keys give no access, and keeps those that need a further check. */
+    private void enforceAccess(Set<CallerConnection> candidates) {
+        int before = sessions.size();
+        for (CallerConnection session : List.copyOf(candidates)) {
+            if (enforceAccess(session)) {
+                unauthorizedSessions.remove(session);
+            } else if (sessions.contains(session)) {
+                unauthorizedSessions.add(session);
+            }
+        }
+        if (sessions.size() < before) {
+            LOG.infof("[session] Closed %d sessions whose keys were withdrawn.", before - sessions.size());
+        }
+    }
+
+    /** Checks the access of one session; an unexpected error in it must not keep those of the others from passing. */
+    private static boolean enforceAccess(CallerConnection session) {
+        try {
+            return session.enforceAccess();
+        } catch (RuntimeException e) {
+            LOG.errorf(e, "[session] Closing a session after an unexpected error in the check of its access.");
+            session.abort();
+            return true;
+        }
+    }
+
+    /** Returns the access of a new session to a database. */
+    DatabaseAccess newAccess(String database, KeyFingerprint key) {
+        return new DatabaseAccess(this, loop, database, SessionAccess.of(key, configurationBound));
+    }
+
+    /**
+     * Returns what the active configuration requires of a session. A database that is no longer configured stays as
+     * public as it was; a statement on it is rejected for another reason.
+     */
+    AccessRules accessRules(String database, SessionAccess access) {
+        return snapshot.catalog()
+                .map(catalog -> new AccessRules(
+                        catalog.accounts(),
+                        catalog.route(database)
+                                .map(DatabaseRoute::isPublic)
+                                .orElse(access.account().isEmpty())))
+                .orElse(new AccessRules(AccountDirectory.EMPTY, false));
+    }
+
     /** Returns the reason why no session can be opened on a database; empty if one can be opened. */
     Optional<Failure> validateDatabase(String database) {
         Either<Failure, DatabaseRoute> route = route(database);
@@ -203,6 +264,7 @@
     /** Removes a session that has ended. */
     void onSessionEnded(CallerConnection session) {
         sessions.remove(session);
+        unauthorizedSessions.remove(session);
     }
 
     /**
@@ -282,7 +344,11 @@
 
     @Override
     public boolean tick(Duration now) {
-        boolean hasPending = false;
+        // Before the dispatchers, so that no statement of a withdrawn key is sent at this tick.
+        if (!unauthorizedSessions.isEmpty()) {
+            enforceAccess(unauthorizedSessions);
+        }
+        boolean hasPending = !unauthorizedSessions.isEmpty();
         boolean hasWork = false;
         ImmutableSet.Builder<EndpointName> unresponsive = ImmutableSet.builder();
         ImmutableMap.Builder<GroupName, ProvenPrimary> proven = ImmutableMap.builder();
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/StatementQueue.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/StatementQueue.java
@@ -20,8 +20,9 @@
         statements.add(pending);
     }
 
-    void remove(PendingStatement pending) {
-        statements.remove(pending);
+    /** Removes a statement; returns whether it was queued. */
+    boolean remove(PendingStatement pending) {
+        return statements.remove(pending);
     }
 
     boolean isEmpty() {
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/SessionProxyTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/SessionProxyTest.java
@@ -49,7 +49,8 @@
                 FailureDomain.of("z1"),
                 new Random(1),
                 ClockJumpDetector.create(
-                        clock, () -> start.plus(clock.now().minus(startedAt)).plus(wallOffset.get())));
+                        clock, () -> start.plus(clock.now().minus(startedAt)).plus(wallOffset.get())),
+                Duration.ofSeconds(5));
         Thread thread = new Thread(loop, "traffic");
         thread.setDaemon(true);
         thread.start();
