Add a check of a configuration document before it is written

Cause: operators learn of a mistake only after the store has the document: daemons ignore it whole, or serve an entry in another way than it says. Ruled out: checking in the daemons alone, which is too late; a schema, which cannot say that a route never matches.

--- a/lavenderwick-cli/src/main/java/org/lavenderwick/cli/Main.java
+++ b/lavenderwick-cli/src/main/java/org/lavenderwick/cli/Main.java
@@ -30,6 +30,7 @@
                 new AuditCommand(),
                 new AccountListCommand(),
                 new AccountShowCommand(),
+                new ConfigurationCheckCommand(),
                 new FleetStatusCommand(),
                 new FleetAuditCommand(),
                 new ExplainCommand(System.in),
