--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/dispatch/GroupOwners.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/dispatch/GroupOwners.java
@@ -28,6 +28,12 @@
     /** Connections to an endpoint that an owner needs: one for single statements, one for a transaction, one spare. */
     static final int CONNECTIONS_PER_OWNER = 3;
 
+    /**
+     * Connections to an endpoint that an owner needs if the connections belong to client accounts: one of its own for
+     * status requests, and several among which those of its accounts are exchanged.
+     */
+    static final int CONNECTIONS_PER_OWNER_WITH_ACCOUNTS = 8;
+
     /** Hash function of the rendezvous hashing. All daemons must use the same function and seed to agree on owners. */
     private static final HashFunction SCORE_HASH = Hashing.murmur3_128(0x6c61_7665);
 
@@ -43,7 +49,19 @@
      * @param connections number of connections to an endpoint that the owners may share
      */
     public static int count(int daemons, int slots, int connections) {
-        int maxOwners = Math.min(MAX_OWNERS_PER_SLOT * slots, connections / CONNECTIONS_PER_OWNER);
+        return count(daemons, slots, connections, false);
+    }
+
+    /**
+     * Returns the number of owners of a group, at least 1.
+     *
+     * @param connections number of connections to an endpoint that the owners may share
+     * @param accountsInForce whether each connection belongs to one client account; there are fewer owners then, with
+     *     more connections each
+     */
+    public static int count(int daemons, int slots, int connections, boolean accountsInForce) {
+        int perOwner = accountsInForce ? CONNECTIONS_PER_OWNER_WITH_ACCOUNTS : CONNECTIONS_PER_OWNER;
+        int maxOwners = Math.min(MAX_OWNERS_PER_SLOT * slots, connections / perOwner);
         return Math.max(1, Math.min(daemons, maxOwners));
     }
 
