Run statements of an account on its own connections

The configuration may name client accounts, and each connection to an endpoint then belongs to one of them. Until now all connections belonged to the daemon. Endpoint selection moves from GroupDispatcher to EndpointAssigner, which chooses the endpoint and the connection together; the selection of relays moves to RelayCandidates, and the delays after failed connection attempts to ConnectRetryDelay. Without accounts, the number of connections and the order of choice stay as they were.

Ruled out: closing an evicted connection through the listener. It calls dispatch() again within the pass over the queue, and the statement that caused the eviction could be started twice.

CallerSession and CallerConnection look up the account of the key; the part that checks keys replaces this.

AccountConnectionsTest: in 2,000 statements of 12 accounts no connection is shared, and the connections stay within the limit while owners change and when all daemons restart.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerConnection.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerConnection.java
@@ -10,6 +10,7 @@
 import org.lavenderwick.adapters.session.CallerCodec;
 import org.lavenderwick.adapters.session.CallerMessage;
 import org.lavenderwick.adapters.session.EndpointCodec;
+import org.lavenderwick.core.account.AccountName;
 import org.lavenderwick.core.catalog.RouteOrigin;
 
 /**
@@ -109,7 +110,7 @@
         if (!relayedFromPeer) {
             database.flatMap(name -> proxy.route(name).toJavaOptional()).ifPresent(route -> {
                 relayOrigin = new RouteOrigin(proxy.catalog().orElseThrow().version(), route.group());
-                untriedOwners.addAll(proxy.relayCandidates(route.group()));
+                untriedOwners.addAll(proxy.relayCandidates(route.group(), requestedAccount(text)));
             });
         }
         openAtNextOwner();
@@ -120,6 +121,11 @@
         return message instanceof CallerMessage.Connect connect ? Optional.of(connect.database()) : Optional.empty();
     }
 
+    private Optional<AccountName> requestedAccount(String text) {
+        CallerMessage message = codec.parse(text).getOrNull();
+        return message instanceof CallerMessage.Connect connect ? proxy.account(connect) : Optional.empty();
+    }
+
     /** Relays the session to the next owner that can be connected to, or serves it here if no owner is left. */
     private void openAtNextOwner() {
         relayedSession = null;
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerSession.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerSession.java
@@ -83,7 +83,7 @@
         if (message.isLeft()) {
             rejectAndClose(message.getLeft());
         } else if (message.get() instanceof CallerMessage.Connect connect) {
-            connect(connect.database());
+            connect(connect);
         } else if (message.get() instanceof CallerMessage.Quit) {
             end();
             line.closeAfterSending();
@@ -97,17 +97,16 @@
         }
     }
 
-    private void connect(String name) {
-        if (database != null) {
-            rejectAndClose(Failure.of(ErrorKind.MALFORMED_REQUEST, "the session is open already"));
-            return;
-        }
-        Optional<Failure> failure = proxy.validateDatabase(name);
+    private void connect(CallerMessage.Connect connect) {
+        Optional<Failure> failure = database == null
+                ? proxy.validateDatabase(connect.database())
+                : Optional.of(Failure.of(ErrorKind.MALFORMED_REQUEST, "the session is open already"));
         if (failure.isPresent()) {
             rejectAndClose(failure.get());
             return;
         }
-        database = name;
+        database = connect.database();
+        account = proxy.account(connect);
         responseWriter.sendReady(state(), Optional.empty());
     }
 
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EndpointConnection.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EndpointConnection.java
@@ -15,7 +15,9 @@
 import org.lavenderwick.adapters.session.EndpointError;
 import org.lavenderwick.adapters.session.EndpointMessage;
 import org.lavenderwick.adapters.session.SessionState;
+import org.lavenderwick.core.account.AccountName;
 import org.lavenderwick.core.catalog.EndpointEntry;
+import org.lavenderwick.core.connections.account.AccountConnection;
 import org.lavenderwick.core.error.Failure;
 import org.lavenderwick.core.model.LogPoint;
 import org.lavenderwick.core.statement.ConnectionContext;
@@ -25,7 +27,7 @@
  * A connection to an endpoint. It runs one statement at a time, and is reserved for one session while a transaction is
  * open on it. Confined to the traffic thread.
  */
-final class EndpointConnection implements LineConnection.Listener {
+final class EndpointConnection implements LineConnection.Listener, AccountConnection {
 
     /** A listener for the events of a connection. */
     interface Listener {
@@ -64,6 +66,7 @@
     private final EventLoop loop;
     private final EndpointCodec codec;
     private final EndpointEntry endpoint;
+    private final Optional<AccountName> account;
     private final Listener listener;
     private final ConnectionContext context = ConnectionContext.create();
     private final Deque<PendingResponse> pendingResponses = new ArrayDeque<>();
@@ -77,17 +80,33 @@
     private CallerSession transactionOwner;
     private boolean rollBackWhenDone;
 
-    private EndpointConnection(EventLoop loop, EndpointCodec codec, EndpointEntry endpoint, Listener listener) {
+    private EndpointConnection(
+            EventLoop loop,
+            EndpointCodec codec,
+            EndpointEntry endpoint,
+            Optional<AccountName> account,
+            Listener listener) {
         this.loop = loop;
         this.codec = codec;
         this.endpoint = endpoint;
+        this.account = account;
         this.listener = listener;
         this.connectStartedAt = loop.now();
     }
 
-    static EndpointConnection open(EventLoop loop, EndpointCodec codec, EndpointEntry endpoint, Listener listener)
+    /**
+     * Starts to open a connection.
+     *
+     * @param account the client account that it belongs to for as long as it is open; empty for the daemon's own
+     */
+    static EndpointConnection open(
+            EventLoop loop,
+            EndpointCodec codec,
+            EndpointEntry endpoint,
+            Optional<AccountName> account,
+            Listener listener)
             throws IOException {
-        EndpointConnection connection = new EndpointConnection(loop, codec, endpoint, listener);
+        EndpointConnection connection = new EndpointConnection(loop, codec, endpoint, account, listener);
         connection.line = LineConnection.connect(loop, endpoint.address(), connection);
         return connection;
     }
@@ -100,15 +119,27 @@
         return context;
     }
 
-    boolean isOpen() {
+    @Override
+    public Optional<AccountName> account() {
+        return account;
+    }
+
+    @Override
+    public boolean isOpen() {
         return open && !closed;
     }
 
     /** Returns whether the connection is available for a new statement. */
-    boolean isIdle() {
+    @Override
+    public boolean isIdle() {
         return isOpen() && runningStatement == null && !reserved && pendingResponses.isEmpty();
     }
 
+    @Override
+    public boolean isReserved() {
+        return reserved;
+    }
+
     /** Returns whether the handshake has succeeded; remains true after the connection is closed. */
     boolean wasOpen() {
         return open;
@@ -131,7 +162,8 @@
      * Returns when the oldest pending request was sent, or the start of the connection attempt if the connection is not
      * open yet. Empty if nothing is pending or the connection is closed.
      */
-    Optional<Duration> pendingSince() {
+    @Override
+    public Optional<Duration> pendingSince() {
         if (closed) {
             return Optional.empty();
         }
@@ -278,7 +310,7 @@
 
     @Override
     public void onConnected() {
-        line.send(codec.connect(endpoint.group(), Optional.empty(), endpoint.name()));
+        line.send(codec.connect(endpoint.group(), account, endpoint.name()));
     }
 
     @Override
@@ -332,6 +364,12 @@
         terminate(Optional.empty());
     }
 
+    /** Closes an idle connection without calling the listener, which has removed it already. */
+    void discard() {
+        closed = true;
+        line.close();
+    }
+
     private void terminate(Optional<EndpointError> rejection) {
         if (closed) {
             return;
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EndpointConnectionPool.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EndpointConnectionPool.java
@@ -9,11 +9,13 @@
 import org.jboss.logging.Logger;
 import org.lavenderwick.adapters.session.EndpointCodec;
 import org.lavenderwick.adapters.session.EndpointError;
+import org.lavenderwick.core.account.AccountName;
 import org.lavenderwick.core.catalog.EndpointEntry;
+import org.lavenderwick.core.connections.account.AccountConnectionCache;
+import org.lavenderwick.core.connections.account.MissDecision;
 import org.lavenderwick.core.dispatch.UnresponsiveEndpointDetector;
 import org.lavenderwick.core.model.LogPoint;
 import org.lavenderwick.core.statement.SessionContext;
-import org.lavenderwick.core.time.Backoff;
 
 /**
  * The connections of this daemon to one endpoint, together with the known state of the endpoint. Confined to the
@@ -33,15 +35,6 @@
     /** Maximum time to open a connection; the handshake takes about 10 ms but may have to wait for a free slot. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(600);
 
-    private static final Duration MIN_BACKOFF = Duration.ofMillis(40);
-    private static final Duration MAX_BACKOFF = Duration.ofMillis(400);
-
-    /**
-     * Delay before the next connection attempt after the endpoint rejected one, for example because it has no free
-     * connection.
-     */
-    private static final Duration REJECTED_CONNECT_DELAY = Duration.ofMillis(250);
-
     /** How long a replica counts as behind after it reported that it has not reached a required log position. */
     private static final Duration BEHIND_DURATION = Duration.ofMillis(60);
 
@@ -50,14 +43,15 @@
     private final EventLoop loop;
     private final EndpointCodec codec;
     private final EndpointConnection.Listener listener;
-    private final Backoff backoff;
+    private final ConnectRetryDelay retryDelay;
+    private final ConnectionCounters counters;
     private final List<EndpointConnection> connections = new ArrayList<>();
+    private final AccountConnectionCache<EndpointConnection> cache = AccountConnectionCache.create();
+    private boolean accountsInForce;
     private EndpointEntry entry;
     private int maxConnections = 1;
-    private Duration nextConnectAt = Duration.ZERO;
     private final UnresponsiveEndpointDetector unresponsiveDetector =
             UnresponsiveEndpointDetector.create(RESPONSE_TIMEOUT);
-    private boolean lastConnectFailed;
     private Duration lastAnsweredRequestAt = Duration.ZERO;
     private Duration drainingSince;
     private LogPoint knownPosition = LogPoint.START;
@@ -69,11 +63,13 @@
             EndpointCodec codec,
             EndpointConnection.Listener listener,
             EndpointEntry entry,
-            Backoff backoff) {
+            ConnectRetryDelay retryDelay,
+            ConnectionCounters counters) {
         this.loop = loop;
         this.codec = codec;
         this.listener = listener;
-        this.backoff = backoff;
+        this.retryDelay = retryDelay;
+        this.counters = counters;
         update(entry);
     }
 
@@ -94,9 +90,28 @@
         }
     }
 
+    /**
+     * Sets whether each connection belongs to one client account. Idle connections of accounts are closed if not, since
+     * only the daemon's own are used then.
+     */
+    void useAccounts(boolean inForce) {
+        accountsInForce = inForce;
+        if (!inForce) {
+            connections.stream()
+                    .filter(connection ->
+                            connection.isIdle() && connection.account().isPresent())
+                    .toList()
+                    .forEach(this::discard);
+        }
+    }
+
     /** Sets the maximum number of connections and closes idle ones above it. */
     void limitConnections(int maximum) {
         maxConnections = Math.max(1, maximum);
+        if (accountsInForce) {
+            closeSurplus();
+            return;
+        }
         List<EndpointConnection> idle =
                 connections.stream().filter(EndpointConnection::isIdle).toList();
         int surplus = connections.size() - maxConnections;
@@ -119,23 +134,23 @@
         return (int) connections.stream().filter(EndpointConnection::isRunning).count();
     }
 
-    /** Returns an idle connection, preferably one whose session variables already match those of the session. */
-    Optional<EndpointConnection> idleConnection(SessionContext session) {
-        EndpointConnection found = null;
-        for (EndpointConnection connection : connections) {
-            if (connection.isIdle()) {
-                if (connection.context().hasVariablesOf(session)) {
-                    return Optional.of(connection);
-                }
-                found = found == null ? connection : found;
-            }
-        }
-        return Optional.ofNullable(found);
+    /**
+     * Returns an idle connection of an account, preferably one whose session variables already match those of the
+     * session.
+     */
+    Optional<EndpointConnection> idleConnection(Optional<AccountName> account, SessionContext session) {
+        return cache.idle(
+                connections, account, connection -> connection.context().hasVariablesOf(session));
+    }
+
+    /** Returns whether a connection of an account is idle. */
+    boolean hasIdleConnection(Optional<AccountName> account) {
+        return cache.idle(connections, account, connection -> true).isPresent();
     }
 
-    /** Returns any idle connection. */
+    /** Returns the oldest idle connection of the daemon itself. */
     Optional<EndpointConnection> idleConnection() {
-        return connections.stream().filter(EndpointConnection::isIdle).findFirst();
+        return cache.idle(connections, Optional.empty(), connection -> true);
     }
 
     /**
@@ -143,42 +158,118 @@
      * minimum age count as evidence.
      */
     void openFirstConnection() {
-        if (connections.isEmpty() && !entry.draining()) {
+        if ((accountsInForce || connections.isEmpty()) && !entry.draining()) {
             openConnection();
         }
     }
 
     /**
-     * Starts to open a connection. Does nothing if one is already being opened, the maximum is reached, another
-     * endpoint uses the address, or the delay since the last failed attempt has not passed.
+     * Starts to open a connection of the daemon itself. Does nothing if one is already being opened, the maximum is
+     * reached, another endpoint uses the address, or the delay since the last failed attempt has not passed. While
+     * accounts are in force, it does nothing if there is one already, and may replace one of an account.
      */
     void openConnection() {
+        if (!mayConnect()) {
+            return;
+        }
+        if (accountsInForce) {
+            openMissingOwnConnection();
+            return;
+        }
         boolean opening = connections.stream().anyMatch(connection -> !connection.isOpen());
-        if (opening
-                || wrongEndpoint
-                || connections.size() >= maxConnections
-                || loop.now().compareTo(nextConnectAt) < 0) {
+        if (!opening && connections.size() < maxConnections) {
+            connect(Optional.empty());
+        }
+    }
+
+    private void openMissingOwnConnection() {
+        if (cache.countOf(connections, Optional.empty()) > 0) {
             return;
         }
+        if (connections.size() == maxConnections && AccountConnectionCache.keepsOwn(maxConnections)) {
+            cache.leastUseful(connections, maxConnections, loop.now()).ifPresent(this::discard);
+        }
+        if (connections.size() < maxConnections) {
+            connect(Optional.empty());
+        }
+    }
+
+    /**
+     * Opens a connection for a statement of an account that has no idle one, evicts another one for it, or decides that
+     * the statement waits.
+     */
+    MissDecision.Action openFor(Optional<AccountName> account) {
+        MissDecision<EndpointConnection> decision = cache.onMiss(connections, account, maxConnections, loop.now());
+        if (decision.action() != MissDecision.Action.OPEN) {
+            return decision.action();
+        }
+        // Each connection that is opened occupies a slot of the endpoint.
+        long opening =
+                connections.stream().filter(connection -> !connection.isOpen()).count();
+        if (!mayConnect() || opening >= Math.max(1, entry.slots() / 2)) {
+            return MissDecision.Action.NO_ROOM;
+        }
+        decision.evicted().ifPresent(this::discard);
+        counters.recordMiss(decision.evicted().isPresent());
+        connect(account);
+        return MissDecision.Action.OPEN;
+    }
+
+    /** While accounts are in force, closes the least useful idle connections above the maximum. */
+    void closeSurplus() {
+        Optional<EndpointConnection> surplus = Optional.empty();
+        do {
+            surplus.ifPresent(this::discard);
+            surplus = accountsInForce && connections.size() > maxConnections
+                    ? cache.leastUseful(connections, maxConnections, loop.now())
+                    : Optional.empty();
+        } while (surplus.isPresent());
+    }
+
+    private void discard(EndpointConnection connection) {
+        connections.remove(connection);
+        connection.discard();
+    }
+
+    /** Starts a new pass over all waiting statements. */
+    void beginPass() {
+        cache.beginPass();
+    }
+
+    /** Records that a statement of an account starts on one of the connections. */
+    void recordUse(Optional<AccountName> account) {
+        cache.recordUse(account, loop.now());
+    }
+
+    /** Records that a statement was served. */
+    void recordServed(Duration serviceTime) {
+        cache.recordServed(serviceTime);
+    }
+
+    private boolean mayConnect() {
+        return !wrongEndpoint && retryDelay.allowsAttempt(loop.now());
+    }
+
+    private void connect(Optional<AccountName> account) {
         unresponsiveDetector.onRequestSent(loop.now());
         try {
-            connections.add(EndpointConnection.open(loop, codec, entry, listener));
+            connections.add(EndpointConnection.open(loop, codec, entry, account, listener));
         } catch (IOException e) {
             LOG.warnf(
                     "[session] Failed to connect to endpoint %s: %s; retrying after a delay.",
                     entry.name(), e.getMessage());
-            onConnectFailed();
+            retryDelay.onFailed(loop.now());
         }
     }
 
     /** Returns whether a connection is open, or is expected to open because the previous attempt did not fail. */
     boolean isUsable() {
-        return !wrongEndpoint && (connections.stream().anyMatch(EndpointConnection::isOpen) || !lastConnectFailed);
+        return !wrongEndpoint && (connections.stream().anyMatch(EndpointConnection::isOpen) || !retryDelay.hasFailed());
     }
 
-    void onOpened() {
-        backoff.reset();
-        lastConnectFailed = false;
+    void onOpened(EndpointConnection connection) {
+        retryDelay.onOpened();
+        cache.recordOpened(connection.age());
         recordResponse();
         lastAnsweredRequestAt = loop.now();
     }
@@ -210,22 +301,12 @@
                             + " not connecting to it until its entry changes.",
                     entry.name());
         } else if (rejection.isPresent()) {
-            nextConnectAt = loop.now().plus(REJECTED_CONNECT_DELAY);
+            retryDelay.onRejected(loop.now(), accountsInForce);
         } else if (!connection.wasOpen()) {
-            onConnectFailed();
+            retryDelay.onFailed(loop.now());
         }
     }
 
-    private void onConnectFailed() {
-        nextConnectAt = loop.now().plus(backoff.nextDelay());
-        lastConnectFailed = true;
-    }
-
-    /** Returns the backoff for connection attempts to one endpoint. */
-    static Backoff newBackoff(java.util.random.RandomGenerator random) {
-        return Backoff.create(MIN_BACKOFF, MAX_BACKOFF, random);
-    }
-
     void onResponse(EndpointResponse response) {
         recordResponse();
         if (response.sentAt().compareTo(lastAnsweredRequestAt) > 0) {
@@ -283,6 +364,11 @@
         }
     }
 
+    /** Returns the number of connections, including those that are being opened. */
+    int size() {
+        return connections.size();
+    }
+
     List<EndpointConnection> connections() {
         return List.copyOf(connections);
     }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/FleetSnapshot.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/FleetSnapshot.java
@@ -83,6 +83,7 @@
         }
         boolean sameOwners = samePeers
                 && catalog.map(Catalog::maxConnections).equals(before.catalog.map(Catalog::maxConnections))
+                && areAccountsInForce(catalog) == areAccountsInForce(before.catalog)
                 && (sameEndpoints || slotsByGroup(endpoints).equals(slotsByGroup(before.endpoints)));
         return new FleetSnapshot(
                 catalog,
@@ -105,8 +106,11 @@
         Map<DaemonName, FailureDomain> domains = ImmutableMap.copyOf(Maps.transformValues(peers, Peer::failureDomain));
         ImmutableMap.Builder<GroupName, List<DaemonName>> owners = ImmutableMap.builder();
         catalog.ifPresent(known -> known.maxConnections().keySet().forEach(group -> {
-            int count =
-                    GroupOwners.count(peers.size(), slots.getOrDefault(group, 1), sharedConnections(catalog, group));
+            int count = GroupOwners.count(
+                    peers.size(),
+                    slots.getOrDefault(group, 1),
+                    sharedConnections(catalog, group),
+                    areAccountsInForce(catalog));
             owners.put(group, GroupOwners.select(group, domains, count));
         }));
         return owners.buildOrThrow();
@@ -148,6 +152,15 @@
         return provenPrimaries;
     }
 
+    /** Returns whether the configuration names client accounts, so that each connection belongs to one. */
+    public boolean areAccountsInForce() {
+        return areAccountsInForce(catalog);
+    }
+
+    private static boolean areAccountsInForce(Optional<Catalog> catalog) {
+        return catalog.filter(known -> !known.accounts().isEmpty()).isPresent();
+    }
+
     /** Returns the number of connections per endpoint that the owners of a group share. */
     public int sharedConnections(GroupName group) {
         return sharedConnections(catalog, group);
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GroupDispatcher.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GroupDispatcher.java
@@ -1,7 +1,6 @@
 package org.lavenderwick.daemon.session;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,8 +10,7 @@
 import org.lavenderwick.adapters.session.EndpointCodec;
 import org.lavenderwick.adapters.session.EndpointError;
 import org.lavenderwick.core.catalog.EndpointEntry;
-import org.lavenderwick.core.dispatch.EndpointLoad;
-import org.lavenderwick.core.dispatch.EndpointSelector;
+import org.lavenderwick.core.connections.account.OwnerShare;
 import org.lavenderwick.core.dispatch.PrimaryAbsence;
 import org.lavenderwick.core.error.ErrorKind;
 import org.lavenderwick.core.error.Failure;
@@ -22,7 +20,6 @@
 import org.lavenderwick.core.model.EndpointName;
 import org.lavenderwick.core.model.FailureDomain;
 import org.lavenderwick.core.model.GroupName;
-import org.lavenderwick.core.model.LogPoint;
 import org.lavenderwick.core.replication.PositionHistory;
 
 /**
@@ -34,22 +31,12 @@
     /** Delay before a statement is sent again after an endpoint rejected it without running it. */
     private static final Duration RETRY_DELAY = Duration.ofMillis(15);
 
-    /**
-     * How long a draining primary keeps receiving new statements. Its replacement is requested as soon as it starts to
-     * drain.
-     */
-    private static final Duration DRAINING_PRIMARY_TIMEOUT = Duration.ofMillis(5500);
-
     /** How long observed log positions are kept; must exceed the maximum staleness of every database. */
     private static final Duration POSITION_WINDOW = Duration.ofSeconds(10);
 
-    /** Part of the maximum staleness that is reserved for the time between choosing a log position and the read. */
-    private static final Duration STALENESS_MARGIN = Duration.ofMillis(100);
-
     private final EventLoop loop;
     private final EndpointCodec codec;
     private final DaemonName daemon;
-    private final FailureDomain failureDomain;
     private final RandomGenerator random;
     private final GroupName group;
     private final StatementResultHandler resultHandler;
@@ -59,6 +46,10 @@
     private final StatementQueue queue = new StatementQueue();
     private final Admission admission = new Admission();
     private final StatusRequester statusRequester;
+    private final ConnectionCounters counters;
+    private final EndpointAssigner assigner;
+    private final OwnerShare share = OwnerShare.create();
+    private boolean accountsInForce;
     private FleetSnapshot appliedLayout = FleetSnapshot.EMPTY;
     private List<DaemonName> owners = List.of();
     private final PrimaryAbsence primaryAbsence;
@@ -73,12 +64,13 @@
         this.loop = loop;
         this.codec = codec;
         this.daemon = daemon;
-        this.failureDomain = failureDomain;
         this.random = random;
         this.group = group;
         this.primaryAbsence = PrimaryAbsence.create(random);
         this.resultHandler = new StatementResultHandler(this, loop);
         this.statusRequester = new StatusRequester(loop, codec, primaryTracker, positions, pools);
+        this.counters = new ConnectionCounters(group, loop.now());
+        this.assigner = new EndpointAssigner(loop, group, failureDomain, primaryTracker, positions, pools, counters);
     }
 
     PrimaryTracker primaryTracker() {
@@ -104,16 +96,26 @@
             }
         });
         owners = snapshot.owners(group);
+        accountsInForce = snapshot.areAccountsInForce();
+        assigner.update(owners.size(), accountsInForce);
+        int targetShare = isOwner() && !owners.isEmpty() ? snapshot.sharedConnections(group) / owners.size() : 0;
+        share.update(targetShare, loop.now());
         members.forEach((name, entry) -> {
             EndpointConnectionPool pool = pools.get(name);
             if (pool == null) {
-                pool = new EndpointConnectionPool(loop, codec, this, entry, EndpointConnectionPool.newBackoff(random));
+                pool = new EndpointConnectionPool(
+                        loop,
+                        codec,
+                        this,
+                        entry,
+                        new ConnectRetryDelay(ConnectRetryDelay.newBackoff(random)),
+                        counters);
                 pools.put(name, pool);
             } else {
                 pool.update(entry);
             }
-            pool.limitConnections(
-                    isOwner() && !owners.isEmpty() ? snapshot.sharedConnections(group) / owners.size() : 1);
+            pool.useAccounts(accountsInForce);
+            pool.limitConnections(accountsInForce ? share.current(loop.now()) : targetShare);
         });
         pools.entrySet().removeIf(entry -> {
             if (members.containsKey(entry.getKey())) {
@@ -139,7 +141,8 @@
 
     /** Queues a statement that needs a connection, or reports its failure to the session if it is rejected. */
     void submit(PendingStatement pending) {
-        Optional<Failure> rejection = admission.check(pending, queue, concurrencyLimit(pending), isPrimaryMissing());
+        Optional<Failure> rejection =
+                admission.check(pending, queue, assigner.concurrencyLimit(pending), isPrimaryMissing());
         if (rejection.isPresent()) {
             pending.session().onFailed(pending, rejection.get());
             return;
@@ -152,14 +155,6 @@
         return primaryTracker.current(loop.now()).isEmpty();
     }
 
-    /** Returns how many statements of the same rank and requirements the endpoints may run at the same time. */
-    private int concurrencyLimit(PendingStatement pending) {
-        int rank = pending.route().priority();
-        return loads(pending, minReplicaPoint(pending)).stream()
-                .mapToInt(load -> EndpointSelector.limitForRank(load, rank))
-                .sum();
-    }
-
     /** Removes a statement from the queue because its caller has disconnected. */
     void cancel(PendingStatement pending) {
         queue.remove(pending);
@@ -173,80 +168,24 @@
 
     /** Sends queued statements to endpoints that have capacity. */
     void dispatch() {
+        assigner.beginPass();
         queue.offer(loop.now(), this::start);
     }
 
-    /**
-     * Sends a statement to the preferred endpoint that has an idle connection, and opens connections to the endpoints
-     * that it passes over.
-     *
-     * @return whether the statement was sent
-     */
+    /** Sends a statement if a connection for it is idle; returns whether it was sent. */
     private boolean start(PendingStatement pending) {
-        Optional<LogPoint> minPoint = minReplicaPoint(pending);
-        List<EndpointLoad> eligible = loads(pending, minPoint);
-        while (true) {
-            Optional<EndpointLoad> selected =
-                    EndpointSelector.select(eligible, pending.route().priority());
-            if (selected.isEmpty()) {
-                return false;
-            }
-            EndpointConnectionPool pool = pools.get(selected.get().name());
-            Optional<EndpointConnection> connection =
-                    pool.idleConnection(pending.session().context());
-            if (connection.isPresent()) {
-                pending.recordPrimaryWhenSent(primaryTracker.current(loop.now()));
-                pending.session().onStarted(pending, connection.get());
-                connection.get().run(pending, selected.get().primary() ? Optional.empty() : minPoint);
-                return true;
-            }
-            pool.openConnection();
-            eligible.remove(selected.get());
-        }
-    }
-
-    /** Returns the log position that a replica needs to serve a statement; empty if only the primary can serve it. */
-    private Optional<LogPoint> minReplicaPoint(PendingStatement pending) {
-        if (pending.needsPrimary()) {
-            return Optional.empty();
-        }
-        Duration minTime =
-                pending.arrivedAt().minus(pending.route().maxStaleness()).plus(STALENESS_MARGIN);
-        return positions
-                .covering(minTime)
-                .map(point -> pending.sessionPoint()
-                        .map(sessionPoint -> LogPoint.max(sessionPoint, point))
-                        .orElse(point));
-    }
-
-    /** Returns the load of each endpoint that may serve a statement. */
-    private List<EndpointLoad> loads(PendingStatement pending, Optional<LogPoint> minPoint) {
-        Optional<EndpointName> primary = primaryTracker.current(loop.now()).map(ProvenPrimary::primary);
-        List<EndpointLoad> loads = new ArrayList<>();
-        pools.forEach((name, pool) -> {
-            boolean isPrimary = primary.equals(Optional.of(name));
-            boolean mayServeRead = minPoint.isPresent()
-                    && !pending.excludedEndpoints().contains(name)
-                    && pool.mayHaveReached(minPoint.get());
-            if (pool.isUsable() && (isPrimary || mayServeRead) && !isExcludedByDrain(pool, isPrimary)) {
-                loads.add(new EndpointLoad(
-                        name,
-                        isPrimary,
-                        pool.entry().failureDomain().equals(failureDomain),
-                        pool.inFlight(),
-                        EndpointSelector.limitPerDaemon(pool.entry().slots(), Math.max(1, owners.size())),
-                        pool.isUnresponsive()));
-            }
+        Optional<EndpointAssigner.Assignment> assigned = assigner.assign(pending);
+        assigned.ifPresent(assignment -> {
+            pending.recordPrimaryWhenSent(primaryTracker.current(loop.now()));
+            pending.session().onStarted(pending, assignment.connection());
+            assignment.connection().run(pending, assignment.minPoint());
         });
-        return loads;
+        return assigned.isPresent();
     }
 
-    /** Returns whether an endpoint receives no new statements because it is draining. */
-    private boolean isExcludedByDrain(EndpointConnectionPool pool, boolean primary) {
-        return pool.drainingSince()
-                .filter(since ->
-                        !primary || since.plus(DRAINING_PRIMARY_TIMEOUT).compareTo(loop.now()) < 0)
-                .isPresent();
+    /** Returns how often statements found a connection of their account. */
+    ConnectionCounters.Counts connectionCounts() {
+        return counters.counts();
     }
 
     /** Returns the endpoints that do not respond to this daemon. */
@@ -267,6 +206,10 @@
         primaryTracker.resolvePending(now);
         pools.values().forEach(EndpointConnectionPool::closeStalled);
         pools.values().forEach(EndpointConnectionPool::reconnectIfUnresponsive);
+        if (accountsInForce) {
+            pools.values().forEach(pool -> pool.limitConnections(share.current(now)));
+            counters.logIfDue(now, pools);
+        }
         if (isOwner()) {
             pools.values().forEach(EndpointConnectionPool::openFirstConnection);
         }
@@ -311,7 +254,7 @@
         }
         primaryAbsence.onMissing(now);
         for (PendingStatement pending :
-                queue.removeIf(pending -> minReplicaPoint(pending).isEmpty()
+                queue.removeIf(pending -> assigner.minReplicaPoint(pending).isEmpty()
                         && primaryAbsence.shouldReject(
                                 pending.arrivedAt(), pending.route().latencyTarget(), pending.deadline(), now))) {
             pending.session().onFailed(pending, primaryAbsence.failure(now));
@@ -326,7 +269,7 @@
 
     @Override
     public void onOpened(EndpointConnection connection) {
-        pool(connection).ifPresent(EndpointConnectionPool::onOpened);
+        pool(connection).ifPresent(pool -> pool.onOpened(connection));
         dispatch();
     }
 
@@ -370,9 +313,12 @@
     public void onStatementFinished(
             EndpointConnection connection, PendingStatement pending, EndpointResponse response) {
         if (response.succeeded()) {
-            admission.recordServiceTime(pending, loop.now().minus(response.sentAt()));
+            Duration serviceTime = loop.now().minus(response.sentAt());
+            admission.recordServiceTime(pending, serviceTime);
+            pool(connection).ifPresent(pool -> assigner.recordServed(pool, serviceTime));
         }
         resultHandler.onResponse(connection, pending, response);
+        pool(connection).ifPresent(EndpointConnectionPool::closeSurplus);
         dispatch();
     }
 
@@ -388,6 +334,7 @@
 
     @Override
     public void onIdle(EndpointConnection connection) {
+        pool(connection).ifPresent(EndpointConnectionPool::closeSurplus);
         dispatch();
     }
 
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/PendingStatement.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/PendingStatement.java
@@ -42,6 +42,7 @@
     private int sendCount;
     private Optional<ProvenPrimary> primaryWhenSent = Optional.empty();
     private boolean abandoned;
+    private boolean missedConnection;
 
     /**
      * Creates a statement that has not been sent yet.
@@ -182,6 +183,15 @@
         return sendCount;
     }
 
+    /** Returns whether the statement has found no idle connection of its account before. */
+    boolean hasMissedConnection() {
+        return missedConnection;
+    }
+
+    void recordMissedConnection() {
+        missedConnection = true;
+    }
+
     /** Returns whether the session no longer waits for the response. */
     boolean isAbandoned() {
         return abandoned;
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
@@ -1,9 +1,6 @@
 package org.lavenderwick.daemon.session;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Collections;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -20,7 +17,11 @@
 import io.vavr.control.Either;
 import org.jboss.logging.Logger;
 import org.lavenderwick.adapters.session.CallerCodec;
+import org.lavenderwick.adapters.session.CallerMessage;
 import org.lavenderwick.adapters.session.EndpointCodec;
+import org.lavenderwick.core.account.AccountName;
+import org.lavenderwick.core.account.ClientAccount;
+import org.lavenderwick.core.account.KeyFingerprint;
 import org.lavenderwick.core.catalog.Catalog;
 import org.lavenderwick.core.catalog.DatabaseRoute;
 import org.lavenderwick.core.catalog.RouteOrigin;
@@ -65,7 +66,7 @@
     private volatile Map<GroupName, ProvenPrimary> primariesProvenByEndpoints = ImmutableMap.of();
     private volatile boolean busy;
     private volatile int openSessions;
-    private final Random shuffleRandom;
+    private final RelayCandidates relayCandidates;
 
     /** Creates a proxy without sessions and registers it with the event loop. */
     public SessionProxy(
@@ -85,7 +86,7 @@
         this.clockJumpDetector = clockJumpDetector;
         this.feed = new StoreFeed(loop);
         this.requestLog = new RequestLog(this::describeGroup, loop::now);
-        this.shuffleRandom = new Random(random.nextLong());
+        this.relayCandidates = new RelayCandidates(daemon, domain, new Random(random.nextLong()));
         loop.onTick(this);
         loop.onWakeup(this::checkForClockJump);
     }
@@ -143,6 +144,17 @@
         return route.isLeft() ? Optional.of(route.getLeft()) : Optional.empty();
     }
 
+    /** Returns the client account of a caller; empty if it has none or the database is public. */
+    Optional<AccountName> account(CallerMessage.Connect connect) {
+        return snapshot.catalog()
+                .filter(catalog -> !catalog.accounts().isEmpty())
+                .filter(catalog -> catalog.route(connect.database())
+                        .filter(DatabaseRoute::isPublic)
+                        .isEmpty())
+                .flatMap(catalog -> catalog.accounts().holder(KeyFingerprint.ofKey(connect.credential())))
+                .map(ClientAccount::name);
+    }
+
     RequestLog requestLog() {
         return requestLog;
     }
@@ -185,19 +197,14 @@
     }
 
     /**
-     * Returns the peers to which a session on a group may be relayed, in order of preference: first the owners in this
-     * daemon's failure domain, then the other owners, each in random order. Empty if this daemon owns the group.
+     * Returns the peers to which a session on a group may be relayed, in order of preference. Empty if this daemon
+     * serves it itself.
+     *
+     * @param account the client account of the session; empty if it has none
      */
-    List<Peer> relayCandidates(GroupName group) {
+    List<Peer> relayCandidates(GroupName group, Optional<AccountName> account) {
         GroupDispatcher dispatcher = dispatcher(group);
-        if (dispatcher.isOwner()) {
-            return List.of();
-        }
-        List<Peer> owners = new ArrayList<>();
-        dispatcher.owners().forEach(name -> owners.add(snapshot.peers().get(name)));
-        Collections.shuffle(owners, shuffleRandom);
-        owners.sort(Comparator.comparing(peer -> !peer.failureDomain().equals(domain)));
-        return owners;
+        return relayCandidates.find(snapshot, group, account, dispatcher.owners());
     }
 
     /** Removes a session that has ended. */
