--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerConnection.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerConnection.java
@@ -157,7 +157,7 @@
         }
         GroupName group = proxy.route(access.database()).get().group();
         RouteOrigin relayOrigin = new RouteOrigin(proxy.catalog().orElseThrow().version(), group);
-        untriedOwners.addAll(proxy.relayCandidates(group));
+        untriedOwners.addAll(proxy.relayCandidates(group, access.account()));
         if (!untriedOwners.isEmpty()) {
             relayOpening = access.rules().accounts().isEmpty()
                     ? RelayProtocol.format(firstLine, relayOrigin)
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
@@ -1,9 +1,6 @@
 package org.lavenderwick.daemon.session;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Collections;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -23,6 +20,7 @@
 import org.lavenderwick.adapters.session.EndpointCodec;
 import org.lavenderwick.core.account.AccessRules;
 import org.lavenderwick.core.account.AccountDirectory;
+import org.lavenderwick.core.account.AccountName;
 import org.lavenderwick.core.account.KeyFingerprint;
 import org.lavenderwick.core.account.SessionAccess;
 import org.lavenderwick.core.catalog.Catalog;
@@ -71,7 +69,7 @@
     private volatile Map<GroupName, ProvenPrimary> primariesReportedByEndpoints = ImmutableMap.of();
     private volatile boolean busy;
     private volatile int openSessions;
-    private final Random shuffleRandom;
+    private final RelayCandidates relayCandidates;
 
     /**
      * Creates a proxy without sessions and registers it with the event loop.
@@ -97,7 +95,7 @@
         this.configurationBound = configurationBound;
         this.feed = new StoreFeed(loop);
         this.requestLog = new RequestLog(this::describeGroup, loop::now);
-        this.shuffleRandom = new Random(random.nextLong());
+        this.relayCandidates = new RelayCandidates(daemon, domain, new Random(random.nextLong()));
         loop.onTick(this);
         loop.onWakeup(this::checkForClockJump);
     }
@@ -247,19 +245,14 @@
     }
 
     /**
-     * Returns the peers to which a session on a group may be relayed, in order of preference: first the owners in this
-     * daemon's failure domain, then the other owners, each in random order. Empty if this daemon owns the group.
+     * Returns the peers to which a session on a group may be relayed, in order of preference. Empty if this daemon
+     * serves it itself.
+     *
+     * @param account the client account of the session; empty if it has none
      */
-    List<Peer> relayCandidates(GroupName group) {
+    List<Peer> relayCandidates(GroupName group, Optional<AccountName> account) {
         GroupDispatcher dispatcher = dispatcher(group);
-        if (dispatcher.isOwner()) {
-            return List.of();
-        }
-        List<Peer> owners = new ArrayList<>();
-        dispatcher.owners().forEach(name -> owners.add(snapshot.peers().get(name)));
-        Collections.shuffle(owners, shuffleRandom);
-        owners.sort(Comparator.comparing(peer -> !peer.failureDomain().equals(domain)));
-        return owners;
+        return relayCandidates.find(snapshot, group, account, dispatcher.owners());
     }
 
     /** Removes a session that has ended. */
