--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerSession.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerSession.java
@@ -272,6 +272,10 @@
         if (pending.isTransactional()) {
             transaction.onRequeued();
         }
+        if (access.check(transaction, false) != Verdict.GRANTED) {
+            // Once the statement is back in the queue, and before it may be sent again.
+            loop.execute(this::enforceAccess);
+        }
     }
 
     /** Called when a statement succeeded; sends its result to the caller. */
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionAccountsTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionAccountsTest.java
@@ -1,6 +1,12 @@
 package org.lavenderwick.daemon;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Stream;
@@ -35,6 +41,11 @@
     /** Connection limit of an endpoint that allows one owner, as in {@link SessionRelayTest}. */
     private static final int CONNECTION_LIMIT = 6;
 
+    /** Connections of an endpoint that are not reserved. */
+    private static final int SHARED_CONNECTIONS = 3;
+
+    private static final int STATEMENT_TIMEOUT_MS = 4000;
+
     private static final String PUBLIC_DATABASE = "news";
 
     /** The key that the fleet's own check of service presents. */
@@ -68,7 +79,7 @@
                 version,
                 List.of(new Route(SessionFleet.DATABASE, "primary"), new Route(PUBLIC_DATABASE, "primary", true)),
                 SessionFleet.GROUP,
-                1000,
+                STATEMENT_TIMEOUT_MS,
                 CONNECTION_LIMIT,
                 List.of(new Account("probe", List.of(PROBE_KEY)), new Account("alpha", List.of(keys))));
     }
@@ -146,6 +157,47 @@
         }
     }
 
+    /** Guards against a statement that is sent after the withdrawal because it was queued before. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1})
+    void queuedStatementIsRejectedAsNotRun(int member) throws Exception {
+        String primary = SessionFleet.GROUP + "-1";
+        List<SessionClient> busy = new ArrayList<>();
+        try (SessionClient client = open(member)) {
+            for (int index = 1; index <= SHARED_CONNECTIONS; index++) {
+                SessionClient other = SessionClient.open(members.get(member).address(), SessionFleet.DATABASE);
+                busy.add(other);
+                fleet.database().endpoint(primary).nextAnswer("delay " + STATEMENT_TIMEOUT_MS * 3 / 4);
+                other.send("QUERY q WRITE busy " + index);
+                long running = index;
+                await(() -> fleet.runCount("WRITE busy") == running);
+            }
+            client.send("QUERY q1 WRITE late 1");
+            withdrawKey();
+            List<String> response = client.answer();
+            assertThat(response).hasSize(2).last().isEqualTo("closed");
+            assertThat(response.get(0)).startsWith("ERROR NOAUTH");
+            assertThat(fleet.runCount("late")).isZero();
+            for (SessionClient other : busy) {
+                other.close();
+            }
+        }
+    }
+
+    /** Guards against a write that runs and is reported as not run. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1})
+    void sentStatementGetsItsResponse(int member) throws Exception {
+        try (SessionClient client = open(member)) {
+            fleet.database().endpoint(SessionFleet.GROUP + "-1").nextAnswer("delay 600");
+            client.send("QUERY q1 WRITE sent 1");
+            await(() -> fleet.runCount("sent") == 1);
+            withdrawKey();
+            assertThat(succeeded(client.answer())).isTrue();
+            assertThat(client.line()).isNull();
+        }
+    }
+
     @Test
     void restartedDaemonRejectsAWithdrawnKey() throws Exception {
         withdrawKey();
@@ -223,6 +275,42 @@
             logger.setLevel(null);
         }
 
+        /** Guards against a key on the network between daemons, which carries what callers sent in the clear. */
+        @Test
+        void keyAppearsInNoRelayedLine() throws Exception {
+            try (ServerSocket owner = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+                // The failure domain comes first in the order, so the only owner is in it.
+                fleet.store().put("lavenderwick/hosts/played", "z0\n127.0.0.1:" + owner.getLocalPort());
+                Thread.sleep(1500);
+                for (String database : List.of(SessionFleet.DATABASE, PUBLIC_DATABASE)) {
+                    try (SessionClient client =
+                            SessionClient.connect(members.get(0).address())) {
+                        client.send("CONNECT " + database + " " + KEY);
+                        assertThat(firstRelayedLine(owner))
+                                .startsWith("CONNECT " + database + " - RELAY 1 " + SessionFleet.GROUP + " KEY ")
+                                .contains(KeyFingerprint.ofKey(KEY).value())
+                                .doesNotContain(KEY);
+                        assertThat(client.answer().get(0)).startsWith("READY I");
+                    }
+                }
+            }
+        }
+
+        /** Returns the first line of the next relayed session, and closes its connection. */
+        private String firstRelayedLine(ServerSocket owner) throws IOException {
+            while (true) {
+                try (Socket connection = owner.accept()) {
+                    String line = new BufferedReader(
+                                    new InputStreamReader(connection.getInputStream(), StandardCharsets.US_ASCII))
+                            .readLine();
+                    // Daemons also subscribe to the feed of the played owner.
+                    if (line != null && line.startsWith("CONNECT ")) {
+                        return line;
+                    }
+                }
+            }
+        }
+
         /** Guards against a key in a place that more people can read than the configuration. */
         @Test
         void keyAppearsInNoLogLineAndAtNoEndpoint() throws Exception {
