--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/AccountFleet.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/AccountFleet.java
@@ -74,7 +74,8 @@
                     name,
                     peer.failureDomain(),
                     new Random(1),
-                    ClockJumpDetector.create(clock, () -> start.plus(clock.now().minus(startedAt))));
+                    ClockJumpDetector.create(clock, () -> start.plus(clock.now().minus(startedAt))),
+                    Duration.ofSeconds(5));
             Acceptor.acceptSessions(loop, callerAddress, proxy);
             Acceptor.acceptPeers(loop, peer.address(), proxy);
             thread = new Thread(loop, "traffic " + name.value());
