Keep the rate limits of accounts over all daemons by permits

Cause: an account could run any number of operations, since daemons did not share what they had started.

Ruled out: permits that are forgotten once granted (their lifetime is 0.34 s at 245 operations a second, too many requests), equal static shares, counting by owners. Permits that askers hold now count against the capacity of the part.

Change: core.ratelimit holds the decisions, RateLimiter and LimitClaims carry them out, OperationStart asks for a permit before an operation is queued. Entries limits/SHARD/PART tell a restarted process how long to wait.

Messages of a large fleet: not measured.

--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/error/ErrorKind.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/error/ErrorKind.java
@@ -37,6 +37,8 @@
     HISTORY_UNAVAILABLE(410, Execution.NOT_RUN, Retryability.USELESS),
     /** The admission queue of the rank is full. */
     QUEUE_FULL(503, Execution.NOT_RUN, Retryability.SAFE),
+    /** The account has started as many operations as its limit allows. */
+    RATE_LIMITED(503, Execution.NOT_RUN, Retryability.SAFE),
     /** The request cannot be completed before its deadline. */
     DEADLINE_UNREACHABLE(503, Execution.NOT_RUN, Retryability.SAFE),
     /** Too many requests are being retried at the moment. */
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
@@ -92,7 +92,8 @@
                 settings.failureDomain(),
                 random,
                 ClockJumpDetector.create(clock, clocks.wall()),
-                settings.changeBound());
+                settings.changeBound(),
+                settings.rateLimits());
         FleetControl control = new FleetControl(
                 settings.daemon(),
                 new Peer(settings.failureDomain(), settings.peerAddress()),
@@ -104,6 +105,7 @@
                 clocks,
                 random,
                 settings.changeBound(),
+                settings.rateLimits().isPresent(),
                 proxy);
         SessionDaemon daemon = new SessionDaemon(settings, currentSettings, loop, proxy, control, clock);
         Acceptor.acceptSessions(loop, settings.callerAddress(), proxy);
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
@@ -86,6 +86,7 @@
      * @param self the failure domain of this daemon and its address for other daemons
      * @param seeds addresses of daemons to read from if the store is unreachable and no other daemons are known
      * @param maxChangeDelay time within which a configuration change must take effect
+     * @param limitsRates whether the operations of client accounts are limited
      * @param traffic the traffic thread, which receives the fleet state and reports unresponsive endpoints
      */
     public FleetControl(
@@ -98,6 +99,7 @@
             Clocks clocks,
             RandomGenerator random,
             Duration maxChangeDelay,
+            boolean limitsRates,
             TrafficThread traffic) {
         this.daemon = daemon;
         this.self = self;
@@ -135,7 +137,10 @@
                 new FailoverManager(daemon, store, codec, promotions, clocks),
                 traffic,
                 () -> published,
-                changeReader::deliverImmediately);
+                changeReader::deliverImmediately,
+                limitsRates
+                        ? Optional.of(new LimitClaims(daemon, store, clock, storeCache, traffic))
+                        : Optional.empty());
         this.tasks = Map.of(
                 "store", changeReader,
                 "feed", new FeedReader(inbox, store::decode, confirmations),
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetUpkeep.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetUpkeep.java
@@ -78,6 +78,7 @@
     private final TrafficThread traffic;
     private final Supplier<FleetSnapshot> snapshot;
     private final Consumer<Boolean> onFailoverLikely;
+    private final Optional<LimitClaims> limitClaims;
     private final Map<GroupName, Missing> missingSince = new HashMap<>();
     private boolean leaveAnnounced;
     private volatile boolean leaving;
@@ -88,6 +89,7 @@
      * @param self the failure domain of this daemon and its address for other daemons
      * @param snapshot returns the newest state of the fleet
      * @param onFailoverLikely receives whether a primary is suspected or being replaced
+     * @param limitClaims the claims to the parts of the rate limits; empty if operations are not limited
      */
     FleetUpkeep(
             DaemonName daemon,
@@ -101,7 +103,8 @@
             FailoverManager failovers,
             TrafficThread traffic,
             Supplier<FleetSnapshot> snapshot,
-            Consumer<Boolean> onFailoverLikely) {
+            Consumer<Boolean> onFailoverLikely,
+            Optional<LimitClaims> limitClaims) {
         this.daemon = daemon;
         this.self = self;
         this.codec = codec;
@@ -114,6 +117,7 @@
         this.traffic = traffic;
         this.snapshot = snapshot;
         this.onFailoverLikely = onFailoverLikely;
+        this.limitClaims = limitClaims;
     }
 
     /**
@@ -149,6 +153,15 @@
         // The groups come first: a call for the daemon's own entry may take long, and nothing depends on it so soon.
         maintainGroups(snapshot.get());
         daemonEntry.maintain(LiveDaemons.encode(self), revisionOf(LiveDaemons.key(daemon)), clock.now());
+        limitClaims
+                .filter(claims -> hasAccounts(snapshot.get()))
+                .ifPresent(claims -> claims.maintain(snapshot.get().peers(), daemonEntry));
+    }
+
+    private static boolean hasAccounts(FleetSnapshot current) {
+        return current.catalog()
+                .filter(catalog -> !catalog.accounts().isEmpty())
+                .isPresent();
     }
 
     /** Tells the other daemons to send no more work here, and withdraws the votes of this daemon. */
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/LeasedEntry.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/LeasedEntry.java
@@ -1,6 +1,7 @@
 package org.lavenderwick.daemon.fleet;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 
 import io.vavr.control.Either;
@@ -24,6 +25,15 @@
     /** Limit of all later delays. */
     private static final Duration MAX_RETRY_DELAY = Duration.ofSeconds(2);
 
+    /**
+     * The last successful renewal of the lease of an entry.
+     *
+     * @param lease the lease, under which other entries may be written
+     * @param era the era of the store in which it was granted
+     * @param sentAt when the renewal, or else the grant, was sent
+     */
+    record Renewal(long lease, long era, Duration sentAt) {}
+
     private static final Logger LOG = Logger.getLogger(LeasedEntry.class);
 
     private final FleetStore store;
@@ -59,6 +69,11 @@
         }
     }
 
+    /** Returns the last successful renewal; empty if this daemon has no lease for the entry. */
+    Optional<Renewal> renewal() {
+        return lease == StoreWrite.NO_LEASE ? Optional.empty() : Optional.of(new Renewal(lease, era, renewedAt));
+    }
+
     private void renew(Duration now) {
         Either<Failure, Long> renewed = store.renewLease(lease);
         if (renewed.isRight() && renewed.get() != era) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerSession.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerSession.java
@@ -249,7 +249,8 @@
         current = pending;
         line.pause();
         if (transaction.connection() == null) {
-            proxy.dispatcher(pending.route().group()).submit(pending);
+            proxy.operationStart()
+                    .submit(pending, proxy.dispatcher(pending.route().group()));
             return;
         }
         pending.recordPrimaryWhenSent(proxy.provenPrimary(pending.route().group(), transaction.connection()));
@@ -290,6 +291,7 @@
 
     /** Called when a statement was rejected, failed or has an unknown outcome; sends the failure to the caller. */
     void onFailed(PendingStatement pending, Failure failure) {
+        proxy.operationStart().onFailed(pending, failure);
         if (pending.isTransactional()) {
             transaction.release();
             transaction.end(pending.isCommit() ? TransactionState.NONE : TransactionState.FAILED);
@@ -320,9 +322,8 @@
 
     /** Rolls back the transaction if the caller has sent no statement for at least {@code timeout}. */
     void abortIfIdle(Duration timeout) {
-        boolean idle = current == null && lastActiveAt.plus(timeout).compareTo(loop.now()) <= 0;
-        if (idle && transaction.isOpen()) {
-            transaction.lose();
+        if (lastActiveAt.plus(timeout).compareTo(loop.now()) <= 0) {
+            abortTransaction();
         }
     }
 
@@ -336,7 +337,7 @@
         return true;
     }
 
-    /** Rolls back the transaction unless one of its statements is in progress. Called when the daemon stops. */
+    /** Rolls back the transaction unless one of its statements is in progress. */
     void abortTransaction() {
         if (current == null && transaction.isOpen()) {
             transaction.lose();
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/IncomingPeerConnection.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/IncomingPeerConnection.java
@@ -4,7 +4,7 @@
 
 /**
  * A connection accepted from another daemon. Its first line either subscribes to the feed of store changes, on which
- * confirmations may then be requested, or opens a relayed session. Confined to the traffic thread.
+ * confirmations may then be requested, or asks for permits, or opens a relayed session. Confined to the traffic thread.
  */
 final class IncomingPeerConnection implements LineConnection.Listener {
 
@@ -33,6 +33,10 @@
             session.onLine(text);
             return;
         }
+        if (PermitProtocol.isRequest(text)) {
+            proxy.operationStart().onPermitRequest(line, text);
+            return;
+        }
         Optional<Long> knownRevision = FeedProtocol.parseSubscription(text);
         Optional<Long> confirmation = FeedProtocol.parseConfirmationRequest(text);
         if (knownRevision.isPresent()) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/PendingStatement.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/PendingStatement.java
@@ -10,6 +10,7 @@
 import org.lavenderwick.core.failover.ProvenPrimary;
 import org.lavenderwick.core.model.EndpointName;
 import org.lavenderwick.core.model.LogPoint;
+import org.lavenderwick.core.ratelimit.Permit;
 import org.lavenderwick.core.statement.PreparedStatement;
 import org.lavenderwick.core.statement.Statement;
 import org.lavenderwick.core.statement.StatementKind;
@@ -41,6 +42,7 @@
     private Duration sentAt;
     private int sendCount;
     private Optional<ProvenPrimary> primaryWhenSent = Optional.empty();
+    private Optional<Permit> permit = Optional.empty();
     private boolean abandoned;
 
     /**
@@ -177,6 +179,17 @@
         primaryWhenSent = primary;
     }
 
+    void recordPermit(Permit used) {
+        permit = Optional.of(used);
+    }
+
+    /** Returns the permit that was used for the operation, once; empty if there is none or it was taken before. */
+    Optional<Permit> takePermit() {
+        Optional<Permit> taken = permit;
+        permit = Optional.empty();
+        return taken;
+    }
+
     /** Returns how often the statement was sent to an endpoint, not counting setup steps and BEGIN. */
     int sendCount() {
         return sendCount;
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
@@ -24,6 +24,7 @@
 import org.lavenderwick.core.account.AccessRules;
 import org.lavenderwick.core.account.AccountDirectory;
 import org.lavenderwick.core.account.KeyFingerprint;
+import org.lavenderwick.core.account.RateLimitBounds;
 import org.lavenderwick.core.account.SessionAccess;
 import org.lavenderwick.core.catalog.Catalog;
 import org.lavenderwick.core.catalog.DatabaseRoute;
@@ -42,10 +43,7 @@
  * the methods of {@link TrafficThread} and those documented as callable from any thread.
  */
 public final class SessionProxy implements EventLoop.Ticker, TrafficThread {
-
-    /**
-     * Idle timeout of transactions while no configuration is known; it has no effect, as no transaction is open then.
-     */
+    /** Idle timeout of transactions while no configuration is known; no transaction is open then. */
     private static final Duration DEFAULT_IDLE_TIMEOUT = Duration.ofDays(1);
 
     private static final Logger LOG = Logger.getLogger(SessionProxy.class);
@@ -72,11 +70,13 @@
     private volatile boolean busy;
     private volatile int openSessions;
     private final Random shuffleRandom;
+    private final OperationStart operationStart;
 
     /**
      * Creates a proxy without sessions and registers it with the event loop.
      *
      * @param configurationBound time in which a change of the configuration must be in force
+     * @param rateLimits how exactly the rate limits of accounts are kept; empty if operations are not limited
      */
     public SessionProxy(
             EventLoop loop,
@@ -86,7 +86,8 @@
             FailureDomain domain,
             RandomGenerator random,
             ClockJumpDetector clockJumpDetector,
-            Duration configurationBound) {
+            Duration configurationBound,
+            Optional<RateLimitBounds> rateLimits) {
         this.loop = loop;
         this.callerCodec = callerCodec;
         this.endpointCodec = endpointCodec;
@@ -98,6 +99,8 @@
         this.feed = new StoreFeed(loop);
         this.requestLog = new RequestLog(this::describeGroup, loop::now);
         this.shuffleRandom = new Random(random.nextLong());
+        this.operationStart = new OperationStart(rateLimits.map(
+                bounds -> new RateLimiter(loop, daemon, domain, bounds, random, this::checkForClockJump)));
         loop.onTick(this);
         loop.onWakeup(this::checkForClockJump);
     }
@@ -152,6 +155,16 @@
                 .catalog()
                 .ifPresent(catalog -> catalog.maxConnections().keySet().forEach(this::dispatcher));
         dispatchers.values().forEach(dispatcher -> dispatcher.apply(newSnapshot));
+        operationStart.limiter().ifPresent(limiter -> limiter.apply(newSnapshot));
+    }
+
+    @Override
+    public void applyGrantors(GrantorView view) {
+        loop.execute(() -> operationStart.limiter().ifPresent(limiter -> limiter.apply(view)));
+    }
+
+    OperationStart operationStart() {
+        return operationStart;
     }
 
     /** Ends the given sessions if their keys give no access, and keeps those that need a further check. */
@@ -325,6 +338,7 @@
             // Not the time at which this iteration began: a renewal may have been dated since then.
             evidenceDiscardedUntil = loop.currentTime();
             dispatchers.values().forEach(dispatcher -> dispatcher.discardEvidence(evidenceDiscardedUntil));
+            operationStart.limiter().ifPresent(limiter -> limiter.discard(evidenceDiscardedUntil));
         }
     }
 
@@ -379,6 +393,7 @@
             drain.tick(now, sessions);
         }
         feed.tick(now);
+        hasPending |= operationStart.tick(now);
         openSessions = sessions.size();
         return hasPending || drain != null;
     }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/TrafficThread.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/TrafficThread.java
@@ -40,6 +40,9 @@
      */
     void confirmLeasesWith(Function<Supplier<Duration>, Optional<LeaseConfirmation>> source);
 
+    /** Replaces the view of who grants permits. Takes effect asynchronously. */
+    void applyGrantors(GrantorView view);
+
     /** Returns the endpoints that do not respond to this daemon. */
     Set<EndpointName> unresponsiveEndpoints();
 
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionFleet.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionFleet.java
@@ -11,6 +11,7 @@
 import java.util.stream.IntStream;
 
 import org.lavenderwick.adapters.settings.SessionSettings;
+import org.lavenderwick.core.account.RateLimitBounds;
 import org.lavenderwick.core.model.DaemonName;
 import org.lavenderwick.core.model.FailureDomain;
 import org.lavenderwick.platform.standin.DatabaseStandin;
@@ -55,12 +56,18 @@
     private final DatabaseStandin database;
     private final List<Member> members = new CopyOnWriteArrayList<>();
     private int startedDaemons;
+    private Optional<RateLimitBounds> rateLimits = Optional.empty();
 
     SessionFleet() throws IOException {
         store = StoreStandin.start();
         database = DatabaseStandin.start(GROUP, ENDPOINTS, store);
     }
 
+    /** Makes the daemons that are started from now on keep the rate limits of accounts. */
+    void limitRates(RateLimitBounds bounds) {
+        rateLimits = Optional.of(bounds);
+    }
+
     /** Starts a fleet of one daemon and one database with read-your-writes consistency. */
     static SessionFleet withOneDaemon() throws Exception {
         SessionFleet fleet = new SessionFleet();
@@ -153,7 +160,7 @@
                 database.ordersAddress(),
                 MAX_CONFIGURATION_DELAY,
                 Duration.ofSeconds(6),
-                Optional.empty()));
+                rateLimits));
         Member member = new Member(daemon, address, readinessAddress, peerAddress, door);
         members.add(member);
         return member;
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/fleet/StoreChangeReaderTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/fleet/StoreChangeReaderTest.java
@@ -26,6 +26,7 @@
 import org.lavenderwick.core.time.Backoff;
 import org.lavenderwick.core.time.MonotonicClock;
 import org.lavenderwick.daemon.session.FleetSnapshot;
+import org.lavenderwick.daemon.session.GrantorView;
 import org.lavenderwick.daemon.session.TrafficThread;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -85,6 +86,11 @@
             // No other daemon asks.
         }
 
+        @Override
+        public void applyGrantors(GrantorView view) {
+            // No operation is limited.
+        }
+
         @Override
         public Set<EndpointName> unresponsiveEndpoints() {
             return Set.of();
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/SessionProxyTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/SessionProxyTest.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
@@ -50,7 +51,8 @@
                 new Random(1),
                 ClockJumpDetector.create(
                         clock, () -> start.plus(clock.now().minus(startedAt)).plus(wallOffset.get())),
-                Duration.ofSeconds(5));
+                Duration.ofSeconds(5),
+                Optional.empty());
         Thread thread = new Thread(loop, "traffic");
         thread.setDaemon(true);
         thread.start();
