--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/AccountFleet.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/AccountFleet.java
@@ -75,7 +75,8 @@
                     peer.failureDomain(),
                     new Random(1),
                     ClockJumpDetector.create(clock, () -> start.plus(clock.now().minus(startedAt))),
-                    Duration.ofSeconds(5));
+                    Duration.ofSeconds(5),
+                    Optional.empty());
             Acceptor.acceptSessions(loop, callerAddress, proxy);
             Acceptor.acceptPeers(loop, peer.address(), proxy);
             thread = new Thread(loop, "traffic " + name.value());
