Leave the daemon's own connection out of the test of queued statements

Cause: SessionAccountsTest.queuedStatementIsRejectedAsNotRun fills all shared connections with statements of accounts. Ruled out: a loss of statements; the third one was queued.

Change: the precondition fills one connection less. What is asserted stays: the late statement is rejected with NOAUTH and has not run.

--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionAccountsTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionAccountsTest.java
@@ -164,7 +164,8 @@
         String primary = SessionFleet.GROUP + "-1";
         List<SessionClient> busy = new ArrayList<>();
         try (SessionClient client = open(member)) {
-            for (int index = 1; index <= SHARED_CONNECTIONS; index++) {
+            // One of the connections is the daemon's own and serves no account.
+            for (int index = 1; index < SHARED_CONNECTIONS; index++) {
                 SessionClient other = SessionClient.open(members.get(member).address(), SessionFleet.DATABASE);
                 busy.add(other);
                 fleet.database().endpoint(primary).nextAnswer("delay " + STATEMENT_TIMEOUT_MS * 3 / 4);
