Cache what a class is owed, and make ties of the scheduler independent of hashes

Change: classes are kept in the order of creation and hold what their rank, database and domain were served.

--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/scheduling/DispatchOrder.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/scheduling/DispatchOrder.java
@@ -46,7 +46,7 @@
     /** Returns the operation that takes a slot; null if there is none. It is not removed from its class. */
     WaitingOperation first(Collection<OperationClass> classes, FreeSlot slot) {
         List<OperationClass> candidates = new ArrayList<>();
-        MinimumShares.Key owedMost = null;
+        MinimumShares.State owedMost = null;
         double most = 1;
         for (OperationClass waiting : classes) {
             OperationClass.Key key = waiting.key();
@@ -54,7 +54,7 @@
                 continue;
             }
             candidates.add(waiting);
-            for (MinimumShares.Key share : MinimumShares.keys(key.rank(), key.database(), key.domain())) {
+            for (MinimumShares.State share : waiting.shares()) {
                 double owed = shares.owed(share) / slotTimes.mean(key.database());
                 if (owed > most) {
                     most = owed;
@@ -63,17 +63,13 @@
             }
         }
         if (owedMost != null) {
-            MinimumShares.Key share = owedMost;
-            candidates.removeIf(waiting -> !MinimumShares.keys(
-                            waiting.key().rank(),
-                            waiting.key().database(),
-                            waiting.key().domain())
-                    .contains(share));
+            MinimumShares.State share = owedMost;
+            candidates.removeIf(waiting -> !waiting.shares().contains(share));
         }
-        return first(candidates, slot);
+        return first(candidates);
     }
 
-    private WaitingOperation first(List<OperationClass> candidates, FreeSlot slot) {
+    private WaitingOperation first(List<OperationClass> candidates) {
         OperationClass inTime = null;
         OperationClass late = null;
         for (OperationClass waiting : candidates) {
@@ -89,7 +85,7 @@
         if (late != null && late.key().rank() < inTime.key().rank() && value(late) > value(inTime)) {
             return late.first();
         }
-        return firstOfRank(inTime, candidates, slot);
+        return firstOfRank(inTime, candidates);
     }
 
     /**
@@ -97,7 +93,7 @@
      * otherwise the flows share what there is. Fair shares alone made the largest account late in short bursts in which
      * everything could be in time.
      */
-    private WaitingOperation firstOfRank(OperationClass fairest, List<OperationClass> candidates, FreeSlot slot) {
+    private WaitingOperation firstOfRank(OperationClass fairest, List<OperationClass> candidates) {
         WaitingOperation due = fairest.firstDue();
         double work = 0;
         for (OperationClass waiting : candidates) {
@@ -109,8 +105,8 @@
                 due = sooner ? other : due;
             }
         }
-        double room =
-                running.slotsOf(slot.primary()) * Seconds.of(due.operation().target());
+        int slots = running.slotsOf(true) + (fairest.key().pool() == Pool.ANY ? running.slotsOf(false) : 0);
+        double room = slots * Seconds.of(due.operation().target());
         return work <= FILLED_PART * room ? due : fairest.first();
     }
 
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/scheduling/MinimumShares.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/scheduling/MinimumShares.java
@@ -26,7 +26,8 @@
     /** One rank, database or failure domain. */
     record Key(Dimension dimension, String value) {}
 
-    private static final class State {
+    /** What one key was served. */
+    static final class State {
         private double countedFrom;
         private int waiting;
     }
@@ -58,10 +59,16 @@
         keys.forEach(key -> states.get(key).waiting--);
     }
 
+    /** Returns the states of keys. */
+    List<State> states(List<Key> keys) {
+        return keys.stream()
+                .map(key -> states.computeIfAbsent(key, absent -> new State()))
+                .toList();
+    }
+
     /** Returns the slot time in seconds that a key is owed; negative if it was served more than its share. */
-    double owed(Key key) {
-        State state = states.get(key);
-        return state == null ? 0 : Math.min(MAX_OWED_SECONDS, (dispatched - state.countedFrom) * SHARE);
+    double owed(State state) {
+        return Math.min(MAX_OWED_SECONDS, (dispatched - state.countedFrom) * SHARE);
     }
 
     void onDispatched(List<Key> keys, double seconds) {
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/scheduling/OperationClass.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/scheduling/OperationClass.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
 
@@ -40,6 +41,8 @@
 
     private final Key key;
     private final RankFlows rankFlows;
+    private final List<MinimumShares.State> shares;
+    private RankFlows.Tag part;
     private final Map<Operation.Flow, FlowQueue> flows = new HashMap<>();
     private final PriorityQueue<FlowQueue> order =
             new PriorityQueue<>(Comparator.comparingDouble(queue -> queue.queuedStart));
@@ -49,11 +52,17 @@
     private int size;
     private double work;
 
-    OperationClass(Key key, RankFlows rankFlows) {
+    OperationClass(Key key, RankFlows rankFlows, List<MinimumShares.State> shares) {
         this.key = key;
+        this.shares = shares;
         this.rankFlows = rankFlows;
     }
 
+    /** Returns what its rank, database and failure domain were served. */
+    List<MinimumShares.State> shares() {
+        return shares;
+    }
+
     Key key() {
         return key;
     }
@@ -76,6 +85,9 @@
     void add(WaitingOperation waiting) {
         Operation operation = waiting.operation();
         FlowQueue queue = flows.get(operation.flow());
+        if (part == null) {
+            part = rankFlows.part(operation);
+        }
         if (queue == null) {
             queue = new FlowQueue(rankFlows.flow(operation));
             flows.put(operation.flow(), queue);
@@ -126,7 +138,7 @@
 
     /** Returns the tag of the database and failure domain. */
     double partStart() {
-        return rankFlows.part(first().operation()).start();
+        return part.start();
     }
 
     /** Returns the tag of the flow of the first operation. */
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/scheduling/WaitingOperations.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/scheduling/WaitingOperations.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -24,7 +25,8 @@
     private final SlotTimes slotTimes;
     private final MinimumShares shares;
     private final Map<Long, WaitingOperation> byId = new HashMap<>();
-    private final Map<OperationClass.Key, OperationClass> classes = new HashMap<>();
+    // In the order of creation, so that ties do not depend on hash codes.
+    private final Map<OperationClass.Key, OperationClass> classes = new LinkedHashMap<>();
     private final Map<Integer, RankFlows> ranks = new HashMap<>();
     private final PriorityQueue<Timer> latestStarts = newTimers();
     private final PriorityQueue<Timer> deadlines = newTimers();
@@ -113,7 +115,10 @@
         Operation operation = waiting.operation();
         OperationClass.Key key = new OperationClass.Key(
                 operation.rank(), operation.database(), operation.domain().value(), pool, late);
-        classes.computeIfAbsent(key, absent -> new OperationClass(absent, flows(operation.rank())))
+        classes.computeIfAbsent(
+                        key,
+                        absent -> new OperationClass(
+                                absent, flows(operation.rank()), shares.states(MinimumShares.keys(operation))))
                 .add(waiting);
     }
 
