Open another connection for an account while its only one hangs

Cause: a statement without an idle connection of its account waits if a busy one is expected to be free sooner than a new one. The expected remaining time was the mean less the time passed, so a connection that hung always seemed about to be free, and the account waited for it (SessionAccountsTest.queuedStatementIsRejectedAsNotRun).

Change: what has taken longer than the mean is expected to take as long again as it is overdue. Ruled out: a fixed timeout, which fits neither a service time of 4 ms nor one of 55 ms.

--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/connections/account/AccountConnectionCache.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/connections/account/AccountConnectionCache.java
@@ -183,7 +183,9 @@
             }
             double mean = connection.isOpen() ? use.meanServiceNanos() : meanOpenNanos;
             double pendingNanos = now.minus(pendingSince.get()).toNanos();
-            double remaining = Math.max(mean - pendingNanos, mean * MIN_REMAINING);
+            // What has taken longer than the mean is expected to take as long again as it is overdue. Otherwise the
+            // account would wait for a connection that hangs instead of opening another one.
+            double remaining = Math.max(Math.abs(mean - pendingNanos), mean * MIN_REMAINING);
             if (remaining <= meanOpenNanos) {
                 turns += 1 + (int) ((meanOpenNanos - remaining) / Math.max(1, use.meanServiceNanos()));
             }
