Send statements by the measured quality of endpoints

Cause: endpoint selection in the session path looked at statements in flight and at a timeout only, so endpoints that are slow, fail or reject arrivals kept their share, and reads crossed failure domains whether or not that gained anything.

Change: EndpointBalancing passes the events of connections to GroupBalancer; EndpointAssigner asks it for the limit of an endpoint and for the choice, with EndpointSelector or AccountEndpointSelector among endpoints that are equally suitable. The TCP handshake is timed for the round trip. The settings may hold crossDomain.pricePerMegabyte.

Ruled out: removing an endpoint without an idle connection from the eligible ones. A read would then leave its failure domain because a connection is being opened. It is passed over instead.

Result: mvn -DskipTests verify passes. mvn test -pl platform,lavenderwick-daemon,lavenderwick-core,lavenderwick-adapters -DexcludedGroups=known-red -Dtest='Balancing*Test*,EjectionTest*,EndpointSelectorTest*,SessionProxyTest,Account*Test, Session*Test,UnprovenCommitTest,AdmissionTest' passes. The effect on a whole deployment is not measured.

--- a/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/SessionSettings.java
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/SessionSettings.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 import com.google.common.collect.ImmutableList;
 import org.lavenderwick.core.account.RateLimitBounds;
@@ -24,6 +25,8 @@
  * @param changeBound time in which a change of the configuration must be in force
  * @param stopTime time between the request to stop and the forced end of the process
  * @param rateLimits how exactly the rate limits of client accounts are kept; empty if they are not limited
+ * @param crossDomainPrice price of a megabyte between failure domains, in units of the value of one timely operation of
+ *     the most urgent rank; empty if only latency decides
  */
 public record SessionSettings(
         DaemonName daemon,
@@ -36,7 +39,8 @@
         InetSocketAddress promotionAddress,
         Duration changeBound,
         Duration stopTime,
-        Optional<RateLimitBounds> rateLimits) {
+        Optional<RateLimitBounds> rateLimits,
+        OptionalDouble crossDomainPrice) {
 
     /** Copies the list. */
     public SessionSettings {
--- a/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/SessionSettingsLoader.java
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/SessionSettingsLoader.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 import io.vavr.control.Either;
 import org.lavenderwick.core.account.RateLimitBounds;
@@ -26,6 +27,8 @@
 
     private static final double MAX_RATE_LIMIT_SLACK = 1e6;
 
+    private static final double MAX_PRICE_PER_MEGABYTE = 1e9;
+
     private static final String ADDRESS = "an IP address and port such as 127.0.1.1:7000";
 
     private SessionSettingsLoader() {}
@@ -52,6 +55,7 @@
         Duration changeBound = reader.millis("configurationMs", MAX_CHANGE_BOUND, DEFAULT_CHANGE_BOUND);
         Duration stopTime = reader.seconds("stopSeconds", MAX_STOP_TIME);
         Optional<RateLimitBounds> rateLimits = readRateLimits(reader);
+        OptionalDouble crossDomainPrice = readCrossDomainPrice(reader);
         reader.finish();
         if (!problems.isEmpty()) {
             return null;
@@ -67,7 +71,18 @@
                 Addresses.socketAddress(promotion),
                 changeBound,
                 stopTime,
-                rateLimits);
+                rateLimits,
+                crossDomainPrice);
+    }
+
+    private static OptionalDouble readCrossDomainPrice(SettingsReader reader) {
+        if (!reader.has("crossDomain")) {
+            return OptionalDouble.empty();
+        }
+        SettingsReader crossDomain = reader.object("crossDomain");
+        double price = crossDomain.number("pricePerMegabyte", 0, MAX_PRICE_PER_MEGABYTE);
+        crossDomain.finish();
+        return OptionalDouble.of(price);
     }
 
     private static Optional<RateLimitBounds> readRateLimits(SettingsReader reader) {
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/balancing/BalancedStatement.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/balancing/BalancedStatement.java
@@ -1,6 +1,10 @@
 package org.lavenderwick.core.balancing;
 
 import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import org.lavenderwick.core.dispatch.EndpointLoad;
 
 /**
  * The properties of a statement on which its placement depends.
@@ -10,9 +14,19 @@
  * @param mayRepeat whether the statement may be sent once more if an endpoint fails it
  * @param waited time since its arrival
  * @param latencyTarget target for the time from its arrival to its response
+ * @param selector selects among endpoints that are equally suitable
  */
 public record BalancedStatement(
-        int rank, boolean needsPrimary, boolean mayRepeat, Duration waited, Duration latencyTarget) {
+        int rank,
+        boolean needsPrimary,
+        boolean mayRepeat,
+        Duration waited,
+        Duration latencyTarget,
+        LoadSelector selector) {
+
+    Optional<EndpointLoad> select(List<EndpointLoad> eligible) {
+        return selector.select(eligible, rank);
+    }
 
     /** Returns whether the statement has waited for at least the given part of its latency target. */
     boolean hasWaited(double partOfTarget) {
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/balancing/DomainPlacement.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/balancing/DomainPlacement.java
@@ -12,7 +12,6 @@
 
 import com.google.common.collect.ImmutableMap;
 import org.lavenderwick.core.dispatch.EndpointLoad;
-import org.lavenderwick.core.dispatch.EndpointSelector;
 import org.lavenderwick.core.model.EndpointName;
 
 /**
@@ -102,14 +101,12 @@
             Measurements measurements,
             Duration now) {
         if (!updateDistance(eligible, measurements)) {
-            return EndpointSelector.select(selectable, statement.rank());
+            return statement.select(selectable);
         }
-        Optional<EndpointLoad> home = EndpointSelector.select(
-                selectable.stream()
-                        .filter(EndpointLoad::sameDomain)
-                        .filter(load -> !load.primary() || hasSpareForReads(load, measurements, now))
-                        .toList(),
-                statement.rank());
+        Optional<EndpointLoad> home = statement.select(selectable.stream()
+                .filter(EndpointLoad::sameDomain)
+                .filter(load -> !load.primary() || hasSpareForReads(load, measurements, now))
+                .toList());
         if (home.isPresent()) {
             return home;
         }
@@ -140,27 +137,23 @@
             Duration now) {
         boolean homeless = reason != DepartureReason.OVERLOADED;
         boolean needsNoSpare = homeless && statement.hasWaited(NEEDS_NO_SPARE_AFTER);
-        return EndpointSelector.select(
-                selectable.stream()
-                        .filter(load -> {
-                            EndpointQuality quality = measurements.quality(load.name());
-                            boolean known = homeless || quality.isDelayKnown(MIN_DELAY_SAMPLES, now);
-                            return needsNoSpare || (!load.sameDomain() && known && hasSpare(quality, now));
-                        })
-                        .toList(),
-                statement.rank());
+        return statement.select(selectable.stream()
+                .filter(load -> {
+                    EndpointQuality quality = measurements.quality(load.name());
+                    boolean known = homeless || quality.isDelayKnown(MIN_DELAY_SAMPLES, now);
+                    return needsNoSpare || (!load.sameDomain() && known && hasSpare(quality, now));
+                })
+                .toList());
     }
 
     /** Selects an endpoint about which nothing is known, for a single read. */
     private Optional<EndpointLoad> explore(
             BalancedStatement statement, List<EndpointLoad> selectable, Measurements measurements, Duration now) {
-        Optional<EndpointLoad> found = EndpointSelector.select(
-                selectable.stream()
-                        .filter(load -> !load.sameDomain() && load.inFlight() == 0)
-                        .filter(load -> !measurements.quality(load.name()).isDelayKnown(MIN_DELAY_SAMPLES, now))
-                        .filter(load -> exploration(load).isDue(measurements.quality(load.name()), SPARE_DELAY, now))
-                        .toList(),
-                statement.rank());
+        Optional<EndpointLoad> found = statement.select(selectable.stream()
+                .filter(load -> !load.sameDomain() && load.inFlight() == 0)
+                .filter(load -> !measurements.quality(load.name()).isDelayKnown(MIN_DELAY_SAMPLES, now))
+                .filter(load -> exploration(load).isDue(measurements.quality(load.name()), SPARE_DELAY, now))
+                .toList());
         found.ifPresent(load -> {
             exploration(load).onSent(now);
             onDeparted(DepartureReason.EXPLORATION, now);
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/balancing/GroupBalancer.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/balancing/GroupBalancer.java
@@ -14,13 +14,12 @@
 
 import com.google.common.collect.Maps;
 import org.lavenderwick.core.dispatch.EndpointLoad;
-import org.lavenderwick.core.dispatch.EndpointSelector;
 import org.lavenderwick.core.model.EndpointName;
 
 /**
- * The balancing of the statements of one group over its endpoints, as one daemon decides it. Without load, failures and
- * distance the choice is that of {@link EndpointSelector}. Statements that need the primary always go to it, subject to
- * the concurrency limit. Not thread-safe.
+ * The balancing of the statements of one group over its endpoints, as one daemon decides it. Without load, failures
+ * and distance the choice is that of the statement's {@link LoadSelector}. Statements that need the primary always go
+ * to it, subject to the concurrency limit. Not thread-safe.
  */
 public final class GroupBalancer {
 
@@ -123,7 +122,7 @@
         selectable.removeIf(load ->
                 passedOver.contains(load.name()) || state(load.name()).limit.isHeld(now));
         if (statement.needsPrimary()) {
-            return EndpointSelector.select(selectable, statement.rank());
+            return statement.select(selectable);
         }
         Optional<EndpointLoad> probe = selectable.stream()
                 .filter(load -> isProbeDue(statement, load, now))
@@ -163,7 +162,7 @@
         ejected.removeAll(inUse);
         ejected.removeIf(
                 load -> load.inFlight() > 0 || state(load.name()).ejection.cause() == EjectionCause.HANGING);
-        return EndpointSelector.select(ejected, statement.rank());
+        return statement.select(ejected);
     }
 
     /** Records that a statement was sent to an endpoint. */
@@ -186,16 +185,19 @@
      *
      * @param kind kind of the statement; statements of one kind take about the same time on all endpoints
      * @param needsPrimary whether only the primary could run it
+     * @param assignedAt time of the call of {@link #onSent} for it
+     * @param sentAt when the statement itself was sent, which may be after setup steps
      */
     public void onFinished(
             EndpointName endpoint,
             String kind,
             boolean needsPrimary,
+            Duration assignedAt,
             Duration sentAt,
             StatementOutcome outcome,
             Duration now) {
         EndpointState state = state(endpoint);
-        state.quality.onFinished(sentAt, outcome, now);
+        state.quality.onFinished(assignedAt, outcome, now);
         if (outcome == StatementOutcome.REJECTED) {
             state.rejections++;
             state.limit.onRejected(state.ceiling, serviceTimes.meanWorkNanos(), now);
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/balancing/BalancingReplay.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/balancing/BalancingReplay.java
@@ -144,7 +144,8 @@
                                     operation.rank() == 0,
                                     operation.rank() > 0 && statement.sends == 0,
                                     time(now - operation.arrival()),
-                                    time(operation.target())),
+                                    time(operation.target()),
+                                    EndpointSelector::select),
                             loads,
                             Set.of(),
                             time(now))
@@ -185,7 +186,13 @@
                 balancer.onResponse(name(endpoint), time(sentAt), time(now));
             }
             balancer.onFinished(
-                    name(endpoint), "rank" + operation.rank(), operation.rank() == 0, time(sentAt), outcome, time(now));
+                    name(endpoint),
+                    "rank" + operation.rank(),
+                    operation.rank() == 0,
+                    time(sentAt),
+                    time(sentAt),
+                    outcome,
+                    time(now));
             boolean mayRepeat = operation.rank() > 0 && statement.sends < 2 && now < operation.deadline();
             if (outcome == StatementOutcome.SUCCEEDED && !statement.done) {
                 value += operation.value(now);
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/balancing/EjectionTest.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/balancing/EjectionTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.lavenderwick.core.dispatch.EndpointLoad;
+import org.lavenderwick.core.dispatch.EndpointSelector;
 import org.lavenderwick.core.model.EndpointName;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -28,7 +29,8 @@
     }
 
     private EndpointName choice(boolean needsPrimary, long now) {
-        BalancedStatement statement = new BalancedStatement(1, needsPrimary, true, at(0), at(250));
+        BalancedStatement statement =
+                new BalancedStatement(1, needsPrimary, true, at(0), at(250), EndpointSelector::select);
         List<EndpointLoad> eligible = needsPrimary ? LOADS.subList(0, 1) : LOADS;
         return balancer.select(statement, eligible, Set.of(), at(now))
                 .orElseThrow()
@@ -39,7 +41,7 @@
         balancer.limit(endpoint, 2);
         balancer.onSent(endpoint, at(now));
         balancer.onResponse(endpoint, at(now), at(now + 10));
-        balancer.onFinished(endpoint, "db", false, at(now), outcome, at(now + 10));
+        balancer.onFinished(endpoint, "db", false, at(now), at(now), outcome, at(now + 10));
     }
 
     private void failAll(EndpointName endpoint, int count) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
@@ -93,7 +93,8 @@
                 random,
                 ClockJumpDetector.create(clock, clocks.wall()),
                 settings.changeBound(),
-                settings.rateLimits());
+                settings.rateLimits(),
+                settings.crossDomainPrice());
         FleetControl control = new FleetControl(
                 settings.daemon(),
                 new Peer(settings.failureDomain(), settings.peerAddress()),
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EndpointAssigner.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EndpointAssigner.java
@@ -2,11 +2,14 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.lavenderwick.core.account.AccountName;
+import org.lavenderwick.core.balancing.LoadSelector;
 import org.lavenderwick.core.connections.account.MissDecision;
 import org.lavenderwick.core.dispatch.AccountEndpointSelector;
 import org.lavenderwick.core.dispatch.EndpointLoad;
@@ -42,6 +45,7 @@
     private final PositionHistory positions;
     private final Map<EndpointName, EndpointConnectionPool> pools;
     private final ConnectionCounters counters;
+    private final EndpointBalancing balancing;
     private final AccountEndpointSelector accountSelector;
     private int ownerCount = 1;
     private boolean accountsInForce;
@@ -53,13 +57,15 @@
             PrimaryTracker primaryTracker,
             PositionHistory positions,
             Map<EndpointName, EndpointConnectionPool> pools,
-            ConnectionCounters counters) {
+            ConnectionCounters counters,
+            EndpointBalancing balancing) {
         this.loop = loop;
         this.failureDomain = failureDomain;
         this.primaryTracker = primaryTracker;
         this.positions = positions;
         this.pools = pools;
         this.counters = counters;
+        this.balancing = balancing;
         this.accountSelector = AccountEndpointSelector.create(group);
     }
 
@@ -97,8 +103,11 @@
         Optional<LogPoint> minPoint = minReplicaPoint(pending);
         List<EndpointLoad> eligible = loads(pending, minPoint);
         Optional<AccountName> account = accountsInForce ? pending.account() : Optional.empty();
+        Set<EndpointName> passedOver = new HashSet<>();
+        LoadSelector selector = selector(account);
         while (true) {
-            Optional<EndpointLoad> selected = select(eligible, pending, account);
+            Optional<EndpointLoad> selected =
+                    balancing.select(pending, minPoint.isEmpty(), eligible, passedOver, selector);
             if (selected.isEmpty()) {
                 return Optional.empty();
             }
@@ -115,17 +124,15 @@
             } else if (open(pool, pending, account)) {
                 return Optional.empty();
             }
-            eligible.remove(selected.get());
+            passedOver.add(selected.get().name());
         }
     }
 
-    private Optional<EndpointLoad> select(
-            List<EndpointLoad> eligible, PendingStatement pending, Optional<AccountName> account) {
-        int rank = pending.route().priority();
+    private LoadSelector selector(Optional<AccountName> account) {
         if (!accountsInForce) {
-            return EndpointSelector.select(eligible, rank);
+            return EndpointSelector::select;
         }
-        return accountSelector.select(
+        return (eligible, rank) -> accountSelector.select(
                 eligible, rank, account, loop.now(), name -> pools.get(name).hasIdleConnection(account));
     }
 
@@ -186,7 +193,9 @@
                         isPrimary,
                         pool.entry().failureDomain().equals(failureDomain),
                         pool.inFlight(),
-                        EndpointSelector.limitPerDaemon(pool.entry().slots(), ownerCount),
+                        balancing.limit(
+                                name,
+                                EndpointSelector.limitPerDaemon(pool.entry().slots(), ownerCount)),
                         pool.isUnresponsive()));
             }
         });
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EndpointConnection.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EndpointConnection.java
@@ -71,6 +71,7 @@
     private final ConnectionContext context = ConnectionContext.create();
     private final Deque<PendingResponse> pendingResponses = new ArrayDeque<>();
     private final Duration connectStartedAt;
+    private Duration tcpHandshakeTime = Duration.ZERO;
     private LineConnection line;
     private boolean open;
     private boolean closed;
@@ -153,6 +154,11 @@
         return Optional.ofNullable(runningStatement);
     }
 
+    /** Returns the time that the TCP handshake took; zero before it. */
+    Duration tcpHandshakeTime() {
+        return tcpHandshakeTime;
+    }
+
     /** Returns the time since the start of the connection attempt. */
     Duration age() {
         return loop.now().minus(connectStartedAt);
@@ -310,6 +316,7 @@
 
     @Override
     public void onConnected() {
+        tcpHandshakeTime = age();
         line.send(codec.connect(endpoint.group(), account, endpoint.name()));
     }
 
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GroupDispatcher.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GroupDispatcher.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.random.RandomGenerator;
 
 import org.lavenderwick.adapters.session.EndpointCodec;
@@ -47,6 +48,7 @@
     private final Admission admission = new Admission();
     private final StatusRequester statusRequester;
     private final ConnectionCounters counters;
+    private final EndpointBalancing balancing;
     private final EndpointAssigner assigner;
     private final OwnerShare share = OwnerShare.create();
     private boolean accountsInForce;
@@ -60,7 +62,8 @@
             DaemonName daemon,
             FailureDomain failureDomain,
             RandomGenerator random,
-            GroupName group) {
+            GroupName group,
+            OptionalDouble crossDomainPrice) {
         this.loop = loop;
         this.codec = codec;
         this.daemon = daemon;
@@ -70,7 +73,9 @@
         this.resultHandler = new StatementResultHandler(this, loop);
         this.statusRequester = new StatusRequester(loop, codec, primaryTracker, positions, pools);
         this.counters = new ConnectionCounters(group, loop.now());
-        this.assigner = new EndpointAssigner(loop, group, failureDomain, primaryTracker, positions, pools, counters);
+        this.balancing = new EndpointBalancing(loop, group, random, crossDomainPrice);
+        this.assigner =
+                new EndpointAssigner(loop, group, failureDomain, primaryTracker, positions, pools, counters, balancing);
     }
 
     PrimaryTracker primaryTracker() {
@@ -117,6 +122,7 @@
             pool.useAccounts(accountsInForce);
             pool.limitConnections(accountsInForce ? share.current(loop.now()) : targetShare);
         });
+        balancing.retain(members.keySet());
         pools.entrySet().removeIf(entry -> {
             if (members.containsKey(entry.getKey())) {
                 return false;
@@ -178,6 +184,7 @@
         assigned.ifPresent(assignment -> {
             pending.recordPrimaryWhenSent(primaryTracker.current(loop.now()));
             pending.session().onStarted(pending, assignment.connection());
+            balancing.onAssigned(assignment.connection());
             assignment.connection().run(pending, assignment.minPoint());
         });
         return assigned.isPresent();
@@ -219,6 +226,7 @@
         }
         rejectWithoutPrimary(now);
         closeTimedOut(now);
+        balancing.tick(pools);
         if (isOwner() || isBusy()) {
             statusRequester.sendIfDue(now);
         }
@@ -270,6 +278,7 @@
     @Override
     public void onOpened(EndpointConnection connection) {
         pool(connection).ifPresent(pool -> pool.onOpened(connection));
+        balancing.onOpened(connection);
         dispatch();
     }
 
@@ -279,6 +288,10 @@
             Optional<PendingStatement> runningStatement,
             Optional<EndpointError> rejection) {
         pool(connection).ifPresent(pool -> pool.onClosed(connection, rejection));
+        balancing.onClosed(
+                connection,
+                runningStatement,
+                pool(connection).filter(pool -> !pool.isUsable()).isEmpty());
         runningStatement.ifPresent(pending -> resultHandler.onConnectionLost(pending));
         if (runningStatement.isEmpty()) {
             connection.transactionOwner().ifPresent(CallerSession::onTransactionLost);
@@ -294,6 +307,7 @@
     @Override
     public void onResponse(EndpointConnection connection, EndpointResponse response) {
         pool(connection).ifPresent(pool -> pool.onResponse(response));
+        balancing.onResponse(connection, response);
         Optional<ProvenPrimary> proven = primaryTracker
                 .latest()
                 .filter(seen -> seen.primary().equals(connection.endpoint().name()));
@@ -312,6 +326,7 @@
     @Override
     public void onStatementFinished(
             EndpointConnection connection, PendingStatement pending, EndpointResponse response) {
+        balancing.onFinished(connection, pending, response);
         if (response.succeeded()) {
             Duration serviceTime = loop.now().minus(response.sentAt());
             admission.recordServiceTime(pending, serviceTime);
@@ -324,6 +339,7 @@
 
     @Override
     public void onStatementRejected(EndpointConnection connection, PendingStatement pending, EndpointError error) {
+        balancing.onRejected(connection, pending, error);
         if (error == EndpointError.BEHIND) {
             pool(connection).ifPresent(EndpointConnectionPool::onPositionMissing);
             pending.excludedEndpoints().add(connection.endpoint().name());
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Function;
@@ -54,6 +55,7 @@
     private final RandomGenerator random;
     private final ClockJumpDetector clockJumpDetector;
     private final Duration configurationBound;
+    private final OptionalDouble crossDomainPrice;
     private final StoreFeed feed;
     private final RequestLog requestLog;
     private final Map<GroupName, GroupDispatcher> dispatchers = new HashMap<>();
@@ -85,7 +87,8 @@
             RandomGenerator random,
             ClockJumpDetector clockJumpDetector,
             Duration configurationBound,
-            Optional<RateLimitBounds> rateLimits) {
+            Optional<RateLimitBounds> rateLimits,
+            OptionalDouble crossDomainPrice) {
         this.loop = loop;
         this.callerCodec = callerCodec;
         this.endpointCodec = endpointCodec;
@@ -94,6 +97,7 @@
         this.random = random;
         this.clockJumpDetector = clockJumpDetector;
         this.configurationBound = configurationBound;
+        this.crossDomainPrice = crossDomainPrice;
         this.feed = new StoreFeed(loop);
         this.requestLog = new RequestLog(this::describeGroup, loop::now);
         this.relayCandidates = new RelayCandidates(daemon, domain, new Random(random.nextLong()));
@@ -243,7 +247,8 @@
     /** Returns the dispatcher of a group, creating it on first use. */
     GroupDispatcher dispatcher(GroupName group) {
         return dispatchers.computeIfAbsent(group, name -> {
-            GroupDispatcher created = new GroupDispatcher(loop, endpointCodec, daemon, domain, random, name);
+            GroupDispatcher created =
+                    new GroupDispatcher(loop, endpointCodec, daemon, domain, random, name, crossDomainPrice);
             created.apply(snapshot);
             return created;
         });
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionFleet.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionFleet.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -160,7 +161,8 @@
                 database.ordersAddress(),
                 MAX_CONFIGURATION_DELAY,
                 Duration.ofSeconds(6),
-                rateLimits));
+                rateLimits,
+                OptionalDouble.empty()));
         Member member = new Member(daemon, address, readinessAddress, peerAddress, door);
         members.add(member);
         return member;
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/AccountFleet.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/AccountFleet.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
@@ -76,7 +77,8 @@
                     new Random(1),
                     ClockJumpDetector.create(clock, () -> start.plus(clock.now().minus(startedAt))),
                     Duration.ofSeconds(5),
-                    Optional.empty());
+                    Optional.empty(),
+                    OptionalDouble.empty());
             Acceptor.acceptSessions(loop, callerAddress, proxy);
             Acceptor.acceptPeers(loop, peer.address(), proxy);
             thread = new Thread(loop, "traffic " + name.value());
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/SessionProxyTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/SessionProxyTest.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
@@ -52,7 +53,8 @@
                 ClockJumpDetector.create(
                         clock, () -> start.plus(clock.now().minus(startedAt)).plus(wallOffset.get())),
                 Duration.ofSeconds(5),
-                Optional.empty());
+                Optional.empty(),
+                OptionalDouble.empty());
         Thread thread = new Thread(loop, "traffic");
         thread.setDaemon(true);
         thread.start();
