Serve large accounts in the caller's failure domain, and avoid owners that do not respond

Cause: each account had one owner in the whole fleet, so a failure domain that was cut off broke the sessions of a third of the accounts in the other domains too. Sessions opened meanwhile waited 250 ms for the missing owner, and statements of open sessions 4 s.

Ruled out: an owner in each domain for every account; with 78 accounts and 63 connections the small ones would hold connections that are hardly used.

Change: an account whose share of all rate limits fills two connections per endpoint and domain has an owner in each domain. An owner that has left requests without any response for 600 ms comes last for new sessions of accounts, and a statement of an idle session is rejected as not run instead of being forwarded to it; it is tried again after 3 s. Nothing changes where the configuration names no accounts.

--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/account/AccountDirectory.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/account/AccountDirectory.java
@@ -16,11 +16,16 @@
 
     private final ImmutableMap<AccountName, ClientAccount> byName;
     private final ImmutableMap<KeyFingerprint, ClientAccount> byKey;
+    private final double totalRate;
 
     private AccountDirectory(
             ImmutableMap<AccountName, ClientAccount> byName, ImmutableMap<KeyFingerprint, ClientAccount> byKey) {
         this.byName = byName;
         this.byKey = byKey;
+        this.totalRate = byName.values().stream()
+                .flatMap(account -> account.limit().stream())
+                .mapToDouble(RateLimit::perSecond)
+                .sum();
     }
 
     /**
@@ -53,6 +58,11 @@
         return Optional.ofNullable(byKey.get(key));
     }
 
+    /** Returns the sum of the rate limits of all accounts, in operations a second. */
+    public double totalRate() {
+        return totalRate;
+    }
+
     /** Returns all accounts. */
     public Collection<ClientAccount> accounts() {
         return byName.values();
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/dispatch/AccountOwners.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/dispatch/AccountOwners.java
@@ -23,6 +23,9 @@
     /** Highest rate of one owner. An account with a higher rate limit has several, in proportion. */
     static final double OPERATIONS_PER_OWNER = 500;
 
+    /** Connections to an endpoint that an account must be likely to use in a failure domain to have an owner there. */
+    private static final double CONNECTIONS_PER_DOMAIN = 2;
+
     /** Hash function of the rendezvous hashing. All daemons must use the same function and seed to agree on owners. */
     private static final HashFunction SCORE_HASH = Hashing.murmur3_128(0x6163_6374);
 
@@ -41,6 +44,22 @@
         return (int) Math.max(1, Math.min(groupOwners, Math.ceil(needed)));
     }
 
+    /**
+     * Returns whether an account has an owner in each failure domain. Its sessions then stay in their domain, and the
+     * loss of a domain breaks none in the others. A small account has one owner for all domains, because each further
+     * one would hold connections that are used rarely.
+     *
+     * @param limit the rate limit; an account without one counts as small
+     * @param totalRate the sum of the rate limits of all accounts
+     * @param connections number of connections to an endpoint that the owners of the group share
+     * @param domains number of failure domains
+     */
+    public static boolean hasOwnerInEachDomain(
+            Optional<RateLimit> limit, double totalRate, int connections, int domains) {
+        double share = totalRate > 0 ? limit.map(RateLimit::perSecond).orElse(0.0) / totalRate : 0;
+        return share * connections >= CONNECTIONS_PER_DOMAIN * domains;
+    }
+
     /**
      * Returns the owners of a group in the order in which they are responsible for an account: first the owners of the
      * account, then those that replace them. The loss of a daemon moves only the accounts that it owned.
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerConnection.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerConnection.java
@@ -3,18 +3,24 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
+import java.util.List;
 import java.util.Optional;
 
 import org.jboss.logging.Logger;
 import org.lavenderwick.adapters.session.CallerCodec;
 import org.lavenderwick.adapters.session.CallerMessage;
 import org.lavenderwick.adapters.session.EndpointCodec;
+import org.lavenderwick.adapters.session.SessionState;
 import org.lavenderwick.core.account.AccountName;
 import org.lavenderwick.core.account.KeyFingerprint;
 import org.lavenderwick.core.account.SessionAccess;
 import org.lavenderwick.core.account.SessionAccess.Verdict;
 import org.lavenderwick.core.catalog.RouteOrigin;
+import org.lavenderwick.core.error.ErrorKind;
+import org.lavenderwick.core.error.Failure;
 import org.lavenderwick.core.model.GroupName;
 
 /**
@@ -44,6 +50,7 @@
     private LineConnection line;
     private CallerSession localSession;
     private RelayedSession relayedSession;
+    private Peer owner;
     private Duration lastRequestAt;
 
     private CallerConnection(
@@ -113,10 +120,39 @@
             writer.sendFailureAndClose(SessionAccess.withdrawn());
             return;
         }
+        if (isOwnerGone()) {
+            rejectAndEndRelay(text);
+            return;
+        }
         lastRequestAt = loop.now();
+        proxy.unresponsiveOwners().onRequestSent(owner, lastRequestAt);
         relayedSession.forward(text);
     }
 
+    /**
+     * Returns whether the owner of an idle session of an account does not respond. A statement that is not forwarded to
+     * it can be rejected as not run, and the caller's next session is opened at another owner.
+     */
+    private boolean isOwnerGone() {
+        return access.account().isPresent()
+                && !relayedSession.isBusy()
+                && proxy.unresponsiveOwners().isUnresponsive(owner, loop.now());
+    }
+
+    private void rejectAndEndRelay(String text) {
+        endRelay();
+        if (codec.parse(text).getOrNull() instanceof CallerMessage.Query query) {
+            CallerResponseWriter writer = new CallerResponseWriter(codec, loop, proxy.requestLog());
+            writer.attach(line);
+            writer.beginRequest(query.id(), access.database());
+            writer.sendFailure(
+                    Optional.empty(),
+                    Failure.of(ErrorKind.OWNER_UNREACHABLE, "the owner of the session does not respond, retry now"),
+                    SessionState.IDLE);
+        }
+        line.closeAfterSending();
+    }
+
     private void openSession(String text) {
         if (codec.parse(text).getOrNull() instanceof CallerMessage.Connect connect) {
             // The key itself is not kept.
@@ -157,7 +193,11 @@
         }
         GroupName group = proxy.route(access.database()).get().group();
         RouteOrigin relayOrigin = new RouteOrigin(proxy.catalog().orElseThrow().version(), group);
-        untriedOwners.addAll(proxy.relayCandidates(group, access.account()));
+        List<Peer> owners = new ArrayList<>(proxy.relayCandidates(group, access.account()));
+        if (access.account().isPresent()) {
+            owners.sort(Comparator.comparing(peer -> proxy.unresponsiveOwners().isUnresponsive(peer, loop.now())));
+        }
+        untriedOwners.addAll(owners);
         if (!untriedOwners.isEmpty()) {
             relayOpening = access.rules().accounts().isEmpty()
                     ? RelayProtocol.format(firstLine, relayOrigin)
@@ -183,7 +223,9 @@
                 RelayedSession next = new RelayedSession(endpointCodec, this);
                 next.open(loop, peer, relayOpening);
                 relayedSession = next;
+                owner = peer;
                 lastRequestAt = loop.now();
+                proxy.unresponsiveOwners().onRequestSent(owner, lastRequestAt);
                 // Further lines wait until an owner has accepted the session, because another one may still take over.
                 line.pause();
             } catch (IOException e) {
@@ -202,6 +244,7 @@
     @Override
     public void onResponseLine(String text) {
         relayOpening = null;
+        proxy.unresponsiveOwners().onResponse(owner);
         line.send(text);
         line.resume();
     }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
@@ -27,6 +27,7 @@
 import org.lavenderwick.core.account.SessionAccess;
 import org.lavenderwick.core.catalog.Catalog;
 import org.lavenderwick.core.catalog.DatabaseRoute;
+import org.lavenderwick.core.dispatch.UnresponsiveOwners;
 import org.lavenderwick.core.error.ErrorKind;
 import org.lavenderwick.core.error.Failure;
 import org.lavenderwick.core.failover.LeaseConfirmation;
@@ -70,6 +71,7 @@
     private volatile boolean busy;
     private volatile int openSessions;
     private final RelayCandidates relayCandidates;
+    private final UnresponsiveOwners<Peer> unresponsiveOwners = UnresponsiveOwners.create();
     private final OperationStart operationStart;
 
     /**
@@ -262,17 +264,17 @@
                 .filter(proven -> proven.primary().equals(connection.endpoint().name()));
     }
 
-    /**
-     * Returns the peers to which a session on a group may be relayed, in order of preference. Empty if this daemon
-     * serves it itself.
-     *
-     * @param account the client account of the session; empty if it has none
-     */
+    /** Returns the peers to which a session may be relayed, in order of preference; empty to serve it here. */
     List<Peer> relayCandidates(GroupName group, Optional<AccountName> account) {
         GroupDispatcher dispatcher = dispatcher(group);
         return relayCandidates.find(snapshot, group, account, dispatcher.owners());
     }
 
+    /** Returns which owners have left requests of this daemon without a response. */
+    UnresponsiveOwners<Peer> unresponsiveOwners() {
+        return unresponsiveOwners;
+    }
+
     /** Removes a session that has ended. */
     void onSessionEnded(CallerConnection session) {
         sessions.remove(session);
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/RelayCandidatesTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/RelayCandidatesTest.java
@@ -30,12 +30,14 @@
     private static final GroupName GROUP = GroupName.of("db");
     private static final AccountName SMALL = AccountName.of("small");
     private static final AccountName LARGE = AccountName.of("large");
+    private static final AccountName WIDE = AccountName.of("wide");
     private static final int DAEMONS = 30;
 
     private final Map<DaemonName, Peer> peers = new HashMap<>();
     private final FleetSnapshot snapshot = snapshot(AccountDirectory.of(List.of(
             new ClientAccount(SMALL, 0, Optional.empty(), Set.of()),
-            new ClientAccount(LARGE, 0, Optional.of(new RateLimit(1_400, 10)), Set.of()))));
+            new ClientAccount(LARGE, 0, Optional.of(new RateLimit(1_400, 10)), Set.of()),
+            new ClientAccount(WIDE, 0, Optional.of(new RateLimit(20_000, 10)), Set.of()))));
     private final List<DaemonName> owners = snapshot.owners(GROUP);
 
     private FleetSnapshot snapshot(AccountDirectory accounts) {
@@ -101,4 +103,16 @@
                     .isSorted();
         }
     }
+
+    /** Guards against a cut-off failure domain that breaks sessions of large accounts in the other domains. */
+    @Test
+    void accountThatFillsConnectionsInEachDomainIsServedInTheCallersDomain() {
+        for (DaemonName daemon : peers.keySet()) {
+            Peer self = peers.get(daemon);
+            List<Peer> found = candidates(daemon, WIDE);
+            boolean isFirstOfItsDomain = owners.contains(daemon) && found.isEmpty();
+            assertThat(isFirstOfItsDomain || found.get(0).failureDomain().equals(self.failureDomain()))
+                    .isTrue();
+        }
+    }
 }
