Balance by measured quality only where the settings ask for it

Cause: the adaptive balancing ran on every deployment.

Ruled out: a threshold on the measured distance alone, since limits and ejection work without distance.

Change: the setting "balancing" with the values "static" (default) and "adaptive". With "static" nothing is measured and the choice is the one of before: fixed limits, fewest statements in flight.

--- a/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/SessionSettings.java
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/SessionSettings.java
@@ -4,10 +4,10 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalDouble;
 
 import com.google.common.collect.ImmutableList;
 import org.lavenderwick.core.account.RateLimitBounds;
+import org.lavenderwick.core.balancing.BalancingSettings;
 import org.lavenderwick.core.model.DaemonName;
 import org.lavenderwick.core.model.FailureDomain;
 
@@ -25,8 +25,7 @@
  * @param changeBound time in which a change of the configuration must be in force
  * @param stopTime time between the request to stop and the forced end of the process
  * @param rateLimits how exactly the rate limits of client accounts are kept; empty if they are not limited
- * @param crossDomainPrice price of a megabyte between failure domains, in units of the value of one timely operation of
- *     the most urgent rank; empty if only latency decides
+ * @param balancing how statements are spread over the endpoints of a group
  */
 public record SessionSettings(
         DaemonName daemon,
@@ -40,7 +39,7 @@
         Duration changeBound,
         Duration stopTime,
         Optional<RateLimitBounds> rateLimits,
-        OptionalDouble crossDomainPrice) {
+        BalancingSettings balancing) {
 
     /** Copies the list. */
     public SessionSettings {
--- a/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/SessionSettingsLoader.java
+++ b/lavenderwick-adapters/src/main/java/org/lavenderwick/adapters/settings/SessionSettingsLoader.java
@@ -8,6 +8,7 @@
 
 import io.vavr.control.Either;
 import org.lavenderwick.core.account.RateLimitBounds;
+import org.lavenderwick.core.balancing.BalancingSettings;
 import org.lavenderwick.core.model.DaemonName;
 import org.lavenderwick.core.model.FailureDomain;
 
@@ -29,6 +30,11 @@
 
     private static final double MAX_PRICE_PER_MEGABYTE = 1e9;
 
+    private static final String ADAPTIVE = "adaptive";
+
+    /** How statements are spread over endpoints; the first is the default. */
+    private static final List<String> BALANCING = List.of("static", ADAPTIVE);
+
     private static final String ADDRESS = "an IP address and port such as 127.0.1.1:7000";
 
     private SessionSettingsLoader() {}
@@ -55,6 +61,7 @@
         Duration changeBound = reader.millis("configurationMs", MAX_CHANGE_BOUND, DEFAULT_CHANGE_BOUND);
         Duration stopTime = reader.seconds("stopSeconds", MAX_STOP_TIME);
         Optional<RateLimitBounds> rateLimits = readRateLimits(reader);
+        boolean adaptive = reader.choice("balancing", BALANCING).equals(ADAPTIVE);
         OptionalDouble crossDomainPrice = readCrossDomainPrice(reader);
         reader.finish();
         if (!problems.isEmpty()) {
@@ -72,7 +79,7 @@
                 changeBound,
                 stopTime,
                 rateLimits,
-                crossDomainPrice);
+                new BalancingSettings(adaptive, crossDomainPrice));
     }
 
     private static OptionalDouble readCrossDomainPrice(SettingsReader reader) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
@@ -94,7 +94,7 @@
                 ClockJumpDetector.create(clock, clocks.wall()),
                 settings.changeBound(),
                 settings.rateLimits(),
-                settings.crossDomainPrice());
+                settings.balancing());
         FleetControl control = new FleetControl(
                 settings.daemon(),
                 new Peer(settings.failureDomain(), settings.peerAddress()),
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EndpointBalancing.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EndpointBalancing.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
@@ -15,6 +14,7 @@
 import org.lavenderwick.core.balancing.BalancedStatement;
 import org.lavenderwick.core.balancing.BalancingCounters;
 import org.lavenderwick.core.balancing.BalancingListener;
+import org.lavenderwick.core.balancing.BalancingSettings;
 import org.lavenderwick.core.balancing.EjectionCause;
 import org.lavenderwick.core.balancing.GroupBalancer;
 import org.lavenderwick.core.balancing.LoadSelector;
@@ -42,6 +42,7 @@
 
     private final EventLoop loop;
     private final GroupName group;
+    private final boolean adaptive;
     private final GroupBalancer balancer;
     private final TokenBucket lineBudget;
     private final Map<EndpointConnection, Duration> assignedAt = new HashMap<>();
@@ -51,12 +52,13 @@
     /**
      * Creates the balancing of a group.
      *
-     * @param pricePerMegabyte price of a megabyte between failure domains; empty if only latency decides
+     * @param settings whether anything is measured and adapted
      */
-    EndpointBalancing(EventLoop loop, GroupName group, RandomGenerator random, OptionalDouble pricePerMegabyte) {
+    EndpointBalancing(EventLoop loop, GroupName group, RandomGenerator random, BalancingSettings settings) {
+        this.adaptive = settings.adaptive();
         this.loop = loop;
         this.group = group;
-        this.balancer = GroupBalancer.create(random, this, pricePerMegabyte);
+        this.balancer = GroupBalancer.create(random, this, settings.pricePerMegabyte());
         this.lineBudget = TokenBucket.of(MAX_BURST_LINES, LINES_PER_SECOND, loop::now);
         this.countersCheckedAt = loop.now();
         this.loggedCounters = balancer.counters();
@@ -69,7 +71,7 @@
 
     /** Returns the number of statements that this daemon may run on an endpoint, at most the ceiling. */
     int limit(EndpointName endpoint, int ceiling) {
-        return balancer.limit(endpoint, ceiling);
+        return adaptive ? balancer.limit(endpoint, ceiling) : ceiling;
     }
 
     /**
@@ -84,6 +86,12 @@
             List<EndpointLoad> eligible,
             Set<EndpointName> passedOver,
             LoadSelector selector) {
+        if (!adaptive) {
+            List<EndpointLoad> remaining = eligible.stream()
+                    .filter(load -> !passedOver.contains(load.name()))
+                    .toList();
+            return selector.select(remaining, pending.route().priority());
+        }
         boolean mayRepeat = !pending.mayWrite() && !pending.isTransactional() && pending.sendCount() == 0;
         BalancedStatement statement = new BalancedStatement(
                 pending.route().priority(),
@@ -97,18 +105,26 @@
 
     /** Records that a statement is passed to a connection. */
     void onAssigned(EndpointConnection connection) {
+        if (!adaptive) {
+            return;
+        }
         assignedAt.put(connection, loop.now());
         balancer.onSent(connection.endpoint().name(), loop.now());
     }
 
     void onOpened(EndpointConnection connection) {
+        if (!adaptive) {
+            return;
+        }
         EndpointName endpoint = connection.endpoint().name();
         balancer.onConnected(endpoint, connection.tcpHandshakeTime(), loop.now());
         balancer.onResponse(endpoint, loop.now().minus(connection.age()), loop.now());
     }
 
     void onResponse(EndpointConnection connection, EndpointResponse response) {
-        balancer.onResponse(connection.endpoint().name(), response.sentAt(), loop.now());
+        if (adaptive) {
+            balancer.onResponse(connection.endpoint().name(), response.sentAt(), loop.now());
+        }
     }
 
     /** Records the response to a statement. */
@@ -140,6 +156,9 @@
      * @param usable whether the endpoint has another open connection, or the latest attempt to open one did not fail
      */
     void onClosed(EndpointConnection connection, Optional<PendingStatement> runningStatement, boolean usable) {
+        if (!adaptive) {
+            return;
+        }
         runningStatement.ifPresent(pending -> onEnded(connection, pending, loop.now(), StatementOutcome.LOST));
         assignedAt.remove(connection);
         if (!usable && !connection.wasOpen()) {
@@ -149,6 +168,9 @@
 
     private void onEnded(
             EndpointConnection connection, PendingStatement pending, Duration sentAt, StatementOutcome outcome) {
+        if (!adaptive) {
+            return;
+        }
         Duration assigned = assignedAt.remove(connection);
         balancer.onFinished(
                 connection.endpoint().name(),
@@ -162,6 +184,9 @@
 
     /** Ejects outliers, and requests the status of endpoints that were ejected because they did not respond. */
     void tick(Map<EndpointName, EndpointConnectionPool> pools) {
+        if (!adaptive) {
+            return;
+        }
         balancer.refresh(loop.now());
         pools.forEach((name, pool) -> {
             if (balancer.needsResponse(name) && !pool.hasPendingRequests()) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GroupDispatcher.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GroupDispatcher.java
@@ -5,11 +5,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.random.RandomGenerator;
 
 import org.lavenderwick.adapters.session.EndpointCodec;
 import org.lavenderwick.adapters.session.EndpointError;
+import org.lavenderwick.core.balancing.BalancingSettings;
 import org.lavenderwick.core.catalog.EndpointEntry;
 import org.lavenderwick.core.connections.account.OwnerShare;
 import org.lavenderwick.core.dispatch.PrimaryAbsence;
@@ -63,7 +63,7 @@
             FailureDomain failureDomain,
             RandomGenerator random,
             GroupName group,
-            OptionalDouble crossDomainPrice) {
+            BalancingSettings balancingSettings) {
         this.loop = loop;
         this.codec = codec;
         this.daemon = daemon;
@@ -73,7 +73,7 @@
         this.resultHandler = new StatementResultHandler(this, loop);
         this.statusRequester = new StatusRequester(loop, codec, primaryTracker, positions, pools);
         this.counters = new ConnectionCounters(group, loop.now());
-        this.balancing = new EndpointBalancing(loop, group, random, crossDomainPrice);
+        this.balancing = new EndpointBalancing(loop, group, random, balancingSettings);
         this.assigner =
                 new EndpointAssigner(loop, group, failureDomain, primaryTracker, positions, pools, counters, balancing);
     }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Function;
@@ -25,6 +24,7 @@
 import org.lavenderwick.core.account.KeyFingerprint;
 import org.lavenderwick.core.account.RateLimitBounds;
 import org.lavenderwick.core.account.SessionAccess;
+import org.lavenderwick.core.balancing.BalancingSettings;
 import org.lavenderwick.core.catalog.Catalog;
 import org.lavenderwick.core.catalog.DatabaseRoute;
 import org.lavenderwick.core.dispatch.UnresponsiveOwners;
@@ -56,7 +56,7 @@
     private final RandomGenerator random;
     private final ClockJumpDetector clockJumpDetector;
     private final Duration configurationBound;
-    private final OptionalDouble crossDomainPrice;
+    private final BalancingSettings balancing;
     private final StoreFeed feed;
     private final RequestLog requestLog;
     private final Map<GroupName, GroupDispatcher> dispatchers = new HashMap<>();
@@ -90,7 +90,7 @@
             ClockJumpDetector clockJumpDetector,
             Duration configurationBound,
             Optional<RateLimitBounds> rateLimits,
-            OptionalDouble crossDomainPrice) {
+            BalancingSettings balancing) {
         this.loop = loop;
         this.callerCodec = callerCodec;
         this.endpointCodec = endpointCodec;
@@ -99,7 +99,7 @@
         this.random = random;
         this.clockJumpDetector = clockJumpDetector;
         this.configurationBound = configurationBound;
-        this.crossDomainPrice = crossDomainPrice;
+        this.balancing = balancing;
         this.feed = new StoreFeed(loop);
         this.requestLog = new RequestLog(this::describeGroup, loop::now);
         this.relayCandidates = new RelayCandidates(daemon, domain, new Random(random.nextLong()));
@@ -249,8 +249,7 @@
     /** Returns the dispatcher of a group, creating it on first use. */
     GroupDispatcher dispatcher(GroupName group) {
         return dispatchers.computeIfAbsent(group, name -> {
-            GroupDispatcher created =
-                    new GroupDispatcher(loop, endpointCodec, daemon, domain, random, name, crossDomainPrice);
+            GroupDispatcher created = new GroupDispatcher(loop, endpointCodec, daemon, domain, random, name, balancing);
             created.apply(snapshot);
             return created;
         });
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionFleet.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionFleet.java
@@ -5,7 +5,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -13,6 +12,7 @@
 
 import org.lavenderwick.adapters.settings.SessionSettings;
 import org.lavenderwick.core.account.RateLimitBounds;
+import org.lavenderwick.core.balancing.BalancingSettings;
 import org.lavenderwick.core.model.DaemonName;
 import org.lavenderwick.core.model.FailureDomain;
 import org.lavenderwick.platform.standin.DatabaseStandin;
@@ -162,7 +162,7 @@
                 MAX_CONFIGURATION_DELAY,
                 Duration.ofSeconds(6),
                 rateLimits,
-                OptionalDouble.empty()));
+                BalancingSettings.STATIC));
         Member member = new Member(daemon, address, readinessAddress, peerAddress, door);
         members.add(member);
         return member;
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/AccountFleet.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/AccountFleet.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
@@ -20,6 +19,7 @@
 import org.lavenderwick.core.account.AccountName;
 import org.lavenderwick.core.account.ClientAccount;
 import org.lavenderwick.core.account.KeyFingerprint;
+import org.lavenderwick.core.balancing.BalancingSettings;
 import org.lavenderwick.core.catalog.Catalog;
 import org.lavenderwick.core.catalog.DatabaseRoute;
 import org.lavenderwick.core.catalog.EndpointEntry;
@@ -78,7 +78,7 @@
                     ClockJumpDetector.create(clock, () -> start.plus(clock.now().minus(startedAt))),
                     Duration.ofSeconds(5),
                     Optional.empty(),
-                    OptionalDouble.empty());
+                    BalancingSettings.STATIC);
             Acceptor.acceptSessions(loop, callerAddress, proxy);
             Acceptor.acceptPeers(loop, peer.address(), proxy);
             thread = new Thread(loop, "traffic " + name.value());
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/SessionProxyTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/SessionProxyTest.java
@@ -9,7 +9,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
@@ -20,6 +19,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.lavenderwick.core.balancing.BalancingSettings;
 import org.lavenderwick.core.model.DaemonName;
 import org.lavenderwick.core.model.FailureDomain;
 import org.lavenderwick.core.time.MonotonicClock;
@@ -54,7 +54,7 @@
                         clock, () -> start.plus(clock.now().minus(startedAt)).plus(wallOffset.get())),
                 Duration.ofSeconds(5),
                 Optional.empty(),
-                OptionalDouble.empty());
+                BalancingSettings.STATIC);
         Thread thread = new Thread(loop, "traffic");
         thread.setDaemon(true);
         thread.start();
