Wait for the other daemons before the parts of the rate limits are claimed

Cause: the first daemon to start knew no other one, was the first candidate for all 12 parts and held them all.

Ruled out: lost renewals and revoked leases; the entries were in place. Change: a part without a holder is left alone for 2 s, in which daemons that start together learn of each other. A new test checks that no daemon holds all parts.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/LimitClaims.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/LimitClaims.java
@@ -41,6 +41,12 @@
     /** Wait for each candidate before this one; they need this time to learn of its entry. */
     private static final Duration STEP = Duration.ofMillis(600);
 
+    /**
+     * Time for which a part without a holder is left alone. A fleet starts within less than this time, so that every
+     * daemon knows the others before the first claim; otherwise the first daemon would hold all parts.
+     */
+    private static final Duration MEMBERSHIP_DELAY = Duration.ofSeconds(2);
+
     private static final Logger LOG = Logger.getLogger(LimitClaims.class);
 
     private final DaemonName daemon;
@@ -111,7 +117,8 @@
         Map<DaemonName, FailureDomain> eligible = domains.entrySet().stream()
                 .filter(entry -> serves(all.indexOf(entry.getValue()), all.size(), part.part()))
                 .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
-        return ActingOrder.delay(GroupOwners.select(GroupName.of(part.key()), eligible, CANDIDATES), daemon, STEP);
+        return ActingOrder.delay(GroupOwners.select(GroupName.of(part.key()), eligible, CANDIDATES), daemon, STEP)
+                .map(MEMBERSHIP_DELAY::plus);
     }
 
     /** Returns whether the daemons of a failure domain are candidates for a part. */
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionRateLimitTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionRateLimitTest.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -105,4 +107,18 @@
             assertThat((double) inWindow).isLessThanOrEqualTo(BOUNDS.maxOperations(LIMIT));
         }
     }
+
+    /** Guards against a daemon that starts first and holds all parts, so that its loss ends all limited work. */
+    @Test
+    void noDaemonHoldsAllParts() throws Exception {
+        Set<String> holders = new HashSet<>();
+        for (int shard = 0; shard < 4; shard++) {
+            for (int part = 0; part < 3; part++) {
+                String key = "lavenderwick/limits/" + shard + "/" + part;
+                SessionFleet.await(() -> fleet.store().text(key) != null);
+                holders.add(fleet.store().text(key).split("\\s")[0]);
+            }
+        }
+        assertThat(holders.size()).isGreaterThan(1);
+    }
 }
