Log the version, age and source of the content behind each denial

Callers saw 'no such database' long after the configuration with it had been confirmed, and no line told which content the daemon had, how old it was, or where its age came from. The hypotheses of the incident could not be told apart by the logs.

A denied database or key is now logged with the configuration, the revision and the age of the store content, and the source that showed the age. What has arrived and is not applied yet does not count as known. A daemon also logs when its content becomes older than the bound and when it is recent again, and where a configuration came from. No decision changes.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/ChangeInbox.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/ChangeInbox.java
@@ -9,6 +9,7 @@
 
 import org.jboss.logging.Logger;
 import org.lavenderwick.core.propagation.ChangeSources;
+import org.lavenderwick.core.propagation.ContentStatus;
 import org.lavenderwick.core.propagation.ContentVersion;
 import org.lavenderwick.core.propagation.StoreRole;
 import org.lavenderwick.core.store.EraRevision;
@@ -28,14 +29,19 @@
      * Changes that were read from the store or from a feed.
      *
      * @param complete whether the changes are the entire content rather than those since the last update
+     * @param source the source of the changes, for people
+     * @param receivedAt monotonic time at which they arrived
      */
-    record Update(boolean complete, StoreChanges changes) {}
+    record Update(boolean complete, StoreChanges changes, String source, Duration receivedAt) {}
 
     private final ChangeSources<InetSocketAddress> sources;
     private final MonotonicClock clock;
     private final TrafficThread traffic;
     private final ContentVersion content = ContentVersion.create();
     private final BlockingQueue<Update> updates = new LinkedBlockingQueue<>();
+    private String source = ContentStatus.NONE.source();
+    private int updatesInProgress;
+    private ContentStatus applied = ContentStatus.NONE;
 
     ChangeInbox(ChangeSources<InetSocketAddress> sources, MonotonicClock clock, TrafficThread traffic) {
         this.sources = sources;
@@ -48,6 +54,25 @@
         return updates;
     }
 
+    /** Records that the control thread has applied a number of updates. */
+    synchronized void onUpdatesApplied(int count) {
+        updatesInProgress -= count;
+    }
+
+    /**
+     * Returns the status of the content that the control thread has applied. What has arrived and is not applied yet
+     * does not count.
+     */
+    synchronized ContentStatus appliedContent() {
+        return updatesInProgress > 0 ? applied : status();
+    }
+
+    private ContentStatus status() {
+        return content.isKnown()
+                ? new ContentStatus(content.revision(), content.currentAt(), source)
+                : ContentStatus.NONE;
+    }
+
     /** Sets the role of this daemon and the feeds that it may read, the preferred one first. */
     synchronized void setSources(StoreRole role, List<InetSocketAddress> feeds) {
         sources.update(role, feeds);
@@ -62,7 +87,7 @@
     /** Delivers changes read from the store by a call that was sent at the given time. */
     synchronized void deliverFromStore(boolean complete, StoreChanges changes, Duration sentAt) {
         // A watch that ends without changes proves that there were none until its response was sent.
-        deliver(complete, changes, complete ? sentAt : clock.now());
+        deliver(complete, changes, complete ? sentAt : clock.now(), "the store");
         if (sources.onStoreResponse()) {
             LOG.info("[fleet] The store responds again; reading changes from it.");
         }
@@ -113,7 +138,7 @@
                     "[fleet] Read the store content of %d ms ago from another daemon.",
                     batch.age().toMillis());
         }
-        deliver(batch.complete(), batch.changes(), clock.now().minus(batch.age()));
+        deliver(batch.complete(), batch.changes(), clock.now().minus(batch.age()), "the feed of " + describe(feed));
         return sources.onFeedBatch(feed, batch.age());
     }
 
@@ -129,11 +154,17 @@
         notifyAll();
     }
 
-    private void deliver(boolean complete, StoreChanges changes, Duration knownAt) {
+    private static String describe(InetSocketAddress feed) {
+        return feed.getHostString() + ":" + feed.getPort();
+    }
+
+    private void deliver(boolean complete, StoreChanges changes, Duration knownAt, String deliveredBy) {
+        ContentStatus before = status();
         Duration knownBefore = content.currentAt();
         boolean known = content.isKnown();
         long eraBefore = EraRevision.era(content.revision());
         boolean newer = content.accept(complete, changes.revision(), knownAt);
+        source = newer || content.currentAt().compareTo(knownBefore) > 0 ? deliveredBy : source;
         if (newer) {
             long era = EraRevision.era(changes.revision());
             if (known && era != eraBefore) {
@@ -144,7 +175,9 @@
             }
             traffic.publishStoreChanges(complete, changes, content.currentAt());
             if (complete || !changes.changes().isEmpty()) {
-                updates.add(new Update(complete, changes));
+                applied = updatesInProgress == 0 ? before : applied;
+                updatesInProgress++;
+                updates.add(new Update(complete, changes, deliveredBy, clock.now()));
             }
         } else if (content.currentAt().compareTo(knownBefore) > 0) {
             traffic.onStoreContentCurrent(content.currentAt());
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
@@ -15,6 +15,7 @@
 import com.google.common.collect.Maps;
 import org.jboss.logging.Logger;
 import org.lavenderwick.adapters.session.EndpointCodec;
+import org.lavenderwick.core.catalog.Catalog;
 import org.lavenderwick.core.dispatch.GroupOwners;
 import org.lavenderwick.core.failover.ActingOrder;
 import org.lavenderwick.core.failover.PromotionPort;
@@ -67,6 +68,7 @@
     private final Peer self;
     private final MonotonicClock clock;
     private final ChangeInbox inbox;
+    private final ContentAgeLog contentAgeLog;
     private final StoreCache storeCache = new StoreCache();
     private final TermRecordManager terms;
     private final LiveDaemons liveDaemons = new LiveDaemons();
@@ -114,6 +116,8 @@
                 clock,
                 traffic);
         StoreChangeReader changeReader = new StoreChangeReader(store, inbox, clock, maxChangeDelay);
+        this.contentAgeLog = new ContentAgeLog(maxChangeDelay);
+        traffic.describeContentWith(inbox::appliedContent);
         this.terms = new TermRecordManager(store, clock);
         LeaseConfirmations confirmations = new LeaseConfirmations(clock);
         this.renewal = new EvidenceRenewal(
@@ -193,24 +197,39 @@
         ChangeInbox.Update update = inbox.updates().poll(POLL_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
         Duration now = clock.now();
         boolean changed = update != null;
-        while (update != null) {
-            applyUpdate(update, now);
-            update = inbox.updates().poll();
-        }
-        changed |= storeCache.removeExpired(now);
-        changed |= liveDaemons.removeExpired(now);
-        if (changed) {
-            publish(true);
+        int taken = 0;
+        try {
+            while (update != null) {
+                taken++;
+                applyUpdate(update, now);
+                update = inbox.updates().poll();
+            }
+            changed |= storeCache.removeExpired(now);
+            changed |= liveDaemons.removeExpired(now);
+            if (changed) {
+                publish(true);
+            }
+        } finally {
+            inbox.onUpdatesApplied(taken);
         }
+        contentAgeLog.check(inbox.appliedContent(), clock.now());
     }
 
     private void applyUpdate(ChangeInbox.Update update, Duration now) {
         terms.enterEra(EraRevision.era(update.changes().revision()));
+        Optional<Catalog> catalogBefore = storeCache.catalog();
         if (update.complete()) {
             storeCache.replaceAll(update.changes(), now);
         } else {
             update.changes().changes().forEach(change -> storeCache.apply(change, now));
         }
+        if (storeCache.catalog().orElse(null) != catalogBefore.orElse(null)) {
+            LOG.infof(
+                    "[fleet] Configuration %d came from %s; applied %d ms after it arrived.",
+                    storeCache.catalog().orElseThrow().version(),
+                    update.source(),
+                    clock.now().minus(update.receivedAt()).toMillis());
+        }
         liveDaemons.update(storeCache.entriesWithPrefix(LiveDaemons.PREFIX), now);
         for (StoreChange change : update.changes().changes()) {
             if (change instanceof StoreChange.EntryChanged changed
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerSession.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerSession.java
@@ -109,9 +109,7 @@
     }
 
     private void reject(Failure failure) {
-        if (failure.kind() == ErrorKind.UNAUTHORIZED) {
-            responseWriter.logRejection(database, failure);
-        }
+        responseWriter.logRejection(database, failure);
         rejectAndClose(failure);
     }
 
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/RequestLog.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/RequestLog.java
@@ -4,8 +4,11 @@
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Supplier;
 
+import com.google.common.collect.Sets;
 import org.jboss.logging.Logger;
 import org.lavenderwick.core.error.ErrorKind;
 import org.lavenderwick.core.error.Failure;
@@ -64,7 +67,12 @@
         }
     }
 
+    /** Kinds of failures that follow from the configuration and not from the state of a group. */
+    private static final Set<ErrorKind> FROM_CONFIGURATION =
+            Sets.immutableEnumSet(ErrorKind.UNKNOWN_GROUP, ErrorKind.UNAUTHORIZED, ErrorKind.NOT_CONFIGURED);
+
     private final Function<GroupName, String> groupState;
+    private final Supplier<String> contentState;
     private final MonotonicClock clock;
     private final Map<ErrorKind, LineLimiter> limiters = new EnumMap<>(ErrorKind.class);
 
@@ -72,10 +80,12 @@
      * Creates a log.
      *
      * @param groupState returns a description of the state of a group as this daemon knows it
+     * @param contentState returns a description of the configuration and of the store content that it is from
      * @param clock the monotonic clock by which {@link Request#receivedAt} was read
      */
-    RequestLog(Function<GroupName, String> groupState, MonotonicClock clock) {
+    RequestLog(Function<GroupName, String> groupState, Supplier<String> contentState, MonotonicClock clock) {
         this.groupState = groupState;
+        this.contentState = contentState;
         this.clock = clock;
     }
 
@@ -90,13 +100,14 @@
             return;
         }
         LOG.infof(
-                "[request] %s of %s: %s after %d ms, as %s%s%s.",
+                "[request] %s of %s: %s after %d ms, as %s%s%s%s.",
                 request.id(),
                 request.database(),
                 failure.kind(),
                 clock.now().minus(request.receivedAt()).toMillis(),
                 failure.detail(),
                 statement.map(this::describe).orElse(""),
+                FROM_CONFIGURATION.contains(failure.kind()) ? "; " + contentState.get() : "",
                 limiter.takeOmittedNote());
     }
 
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
@@ -28,7 +28,6 @@
 import org.lavenderwick.core.catalog.Catalog;
 import org.lavenderwick.core.catalog.DatabaseRoute;
 import org.lavenderwick.core.dispatch.UnresponsiveOwners;
-import org.lavenderwick.core.error.ErrorKind;
 import org.lavenderwick.core.error.Failure;
 import org.lavenderwick.core.failover.LeaseConfirmation;
 import org.lavenderwick.core.failover.ProvenPrimary;
@@ -36,6 +35,7 @@
 import org.lavenderwick.core.model.EndpointName;
 import org.lavenderwick.core.model.FailureDomain;
 import org.lavenderwick.core.model.GroupName;
+import org.lavenderwick.core.propagation.ContentStatus;
 import org.lavenderwick.core.store.StoreChanges;
 
 /**
@@ -58,6 +58,7 @@
     private final Duration configurationBound;
     private final BalancingSettings balancing;
     private final StoreFeed feed;
+    private final RouteLookup routes;
     private final RequestLog requestLog;
     private final Map<GroupName, GroupDispatcher> dispatchers = new HashMap<>();
     private final Set<CallerConnection> sessions = new HashSet<>();
@@ -68,6 +69,7 @@
     private volatile Set<EndpointName> unresponsiveEndpoints = ImmutableSet.of();
     private volatile Map<GroupName, ProvenPrimary> primariesProvenByEndpoints = ImmutableMap.of();
     private volatile Map<GroupName, ProvenPrimary> primariesReportedByEndpoints = ImmutableMap.of();
+    private volatile Supplier<ContentStatus> contentStatus = () -> ContentStatus.NONE;
     private volatile boolean busy;
     private volatile int openSessions;
     private final RelayCandidates relayCandidates;
@@ -101,7 +103,8 @@
         this.configurationBound = configurationBound;
         this.balancing = balancing;
         this.feed = new StoreFeed(loop);
-        this.requestLog = new RequestLog(this::describeGroup, loop::now);
+        this.routes = new RouteLookup(() -> snapshot.catalog(), () -> contentStatus.get(), loop::now);
+        this.requestLog = new RequestLog(this::describeGroup, routes::describeContent, loop::now);
         this.relayCandidates = new RelayCandidates(daemon, domain, new Random(random.nextLong()));
         this.operationStart = new OperationStart(rateLimits.map(
                 bounds -> new RateLimiter(loop, daemon, domain, bounds, random, this::checkForClockJump)));
@@ -228,22 +231,13 @@
 
     /** Returns a description of the group's state as this daemon knows it, for the log of failed requests. */
     private String describeGroup(GroupName group) {
-        String configuration = snapshot.catalog()
-                .map(catalog -> "configuration " + catalog.version())
-                .orElse("no configuration");
-        return configuration + ", " + dispatcher(group).primaryTracker().describe(loop.now());
+        return routes.describeConfiguration() + ", "
+                + dispatcher(group).primaryTracker().describe(loop.now());
     }
 
     /** Returns the route of a database in the active configuration, or the failure to report if there is none. */
     Either<Failure, DatabaseRoute> route(String database) {
-        if (snapshot.catalog().isEmpty()) {
-            return Either.left(Failure.of(ErrorKind.NOT_CONFIGURED, "the daemon has no configuration yet"));
-        }
-        return snapshot.catalog()
-                .get()
-                .route(database)
-                .<Either<Failure, DatabaseRoute>>map(Either::right)
-                .orElseGet(() -> Either.left(Failure.of(ErrorKind.UNKNOWN_GROUP, "no such database")));
+        return routes.find(database);
     }
 
     /** Returns the dispatcher of a group, creating it on first use. */
@@ -295,6 +289,11 @@
         loop.execute(() -> feed.onContentCurrent(currentAt));
     }
 
+    @Override
+    public void describeContentWith(Supplier<ContentStatus> source) {
+        contentStatus = source;
+    }
+
     @Override
     public void confirmLeasesWith(Function<Supplier<Duration>, Optional<LeaseConfirmation>> source) {
         loop.execute(() -> feed.confirmWith(() -> source.apply(this::checkEvidenceDiscardedUntil)));
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/TrafficThread.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/TrafficThread.java
@@ -11,6 +11,7 @@
 import org.lavenderwick.core.failover.ProvenPrimary;
 import org.lavenderwick.core.model.EndpointName;
 import org.lavenderwick.core.model.GroupName;
+import org.lavenderwick.core.propagation.ContentStatus;
 import org.lavenderwick.core.store.StoreChanges;
 
 /** The calls that other threads may make to the traffic thread. All methods may be called from any thread. */
@@ -34,6 +35,9 @@
      */
     void onStoreContentCurrent(Duration currentAt);
 
+    /** Sets the source of the status of the store content that the snapshots are made from. */
+    void describeContentWith(Supplier<ContentStatus> source);
+
     /**
      * Sets the source of the confirmations that other daemons request from this one. The source gets a check of whether
      * the host was suspended, which returns the time until which all evidence is discarded.
--- /dev/null
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/fleet/ChangeInboxTest.java
@@ -0,0 +1,79 @@
+package org.lavenderwick.daemon.fleet;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lavenderwick.core.propagation.ChangeSources;
+import org.lavenderwick.core.propagation.ContentStatus;
+import org.lavenderwick.core.store.StoreChange;
+import org.lavenderwick.core.store.StoreChanges;
+import org.lavenderwick.core.store.StoreEntry;
+import org.lavenderwick.core.time.Backoff;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ChangeInboxTest {
+
+    private Duration now = Duration.ofSeconds(100);
+    private final ChangeInbox inbox = new ChangeInbox(
+            ChangeSources.create(
+                    Duration.ofSeconds(3),
+                    Backoff.create(Duration.ofMillis(50), Duration.ofMillis(800), new Random(1)),
+                    List.of(),
+                    now),
+            () -> now,
+            new IdleTraffic());
+
+    private static StoreChanges changes(long revision) {
+        return new StoreChanges(
+                List.of(new StoreChange.EntryChanged(new StoreEntry("hosts/a", "", revision))),
+                List.of("changed"),
+                revision);
+    }
+
+    private static StoreChanges noChanges(long revision) {
+        return new StoreChanges(List.of(), List.of(), revision);
+    }
+
+    @Nested
+    class AppliedContent {
+
+        @Test
+        void isNoneBeforeTheFirstUpdateIsApplied() {
+            inbox.deliverFromStore(true, changes(7), now);
+            assertThat(inbox.appliedContent()).isEqualTo(ContentStatus.NONE);
+        }
+
+        /** Guards against a daemon that calls content recent whose changes it has received and not applied. */
+        @Test
+        void staysAsOldAsBeforeWhileAnUpdateIsInProgress() {
+            Duration loadedAt = now;
+            inbox.deliverFromStore(true, changes(7), now);
+            inbox.onUpdatesApplied(1);
+            now = now.plusMillis(400);
+            inbox.deliverFromStore(false, changes(8), now);
+            now = now.plusMillis(400);
+            inbox.deliverFromStore(false, noChanges(8), now);
+            assertThat(inbox.appliedContent()).isEqualTo(new ContentStatus(7, loadedAt, "the store"));
+
+            inbox.onUpdatesApplied(1);
+            assertThat(inbox.appliedContent()).isEqualTo(new ContentStatus(8, now, "the store"));
+        }
+
+        @Test
+        void namesTheFeedThatShowedThatItIsTheNewest() {
+            inbox.deliverFromStore(true, changes(7), now);
+            inbox.onUpdatesApplied(1);
+            now = now.plusMillis(500);
+            inbox.deliverFromFeed(
+                    InetSocketAddress.createUnresolved("d2", 7440),
+                    new PeerFeed.Batch(false, noChanges(7), Duration.ofMillis(100)));
+            assertThat(inbox.appliedContent().describe(now))
+                    .isEqualTo("store content of revision 7, known to be the newest 100 ms ago by the feed of d2:7440");
+        }
+    }
+}
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/fleet/StoreChangeReaderTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/fleet/StoreChangeReaderTest.java
@@ -2,21 +2,13 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.Function;
-import java.util.function.Supplier;
 
 import io.vavr.control.Either;
 import org.junit.jupiter.api.Test;
 import org.lavenderwick.core.error.Failure;
-import org.lavenderwick.core.failover.LeaseConfirmation;
-import org.lavenderwick.core.failover.ProvenPrimary;
-import org.lavenderwick.core.model.EndpointName;
-import org.lavenderwick.core.model.GroupName;
 import org.lavenderwick.core.propagation.ChangeSources;
 import org.lavenderwick.core.store.FleetStore;
 import org.lavenderwick.core.store.StoreChange;
@@ -25,9 +17,6 @@
 import org.lavenderwick.core.store.StoreWrite;
 import org.lavenderwick.core.time.Backoff;
 import org.lavenderwick.core.time.MonotonicClock;
-import org.lavenderwick.daemon.session.FleetSnapshot;
-import org.lavenderwick.daemon.session.GrantorView;
-import org.lavenderwick.daemon.session.TrafficThread;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -64,54 +53,6 @@
         return store.watches.get();
     }
 
-    private static final class IdleTraffic implements TrafficThread {
-
-        @Override
-        public void applySnapshot(FleetSnapshot snapshot) {
-            // The test serves no requests.
-        }
-
-        @Override
-        public void publishStoreChanges(boolean complete, StoreChanges changes, Duration currentSince) {
-            // The test has no subscribers.
-        }
-
-        @Override
-        public void onStoreContentCurrent(Duration currentAt) {
-            // The test has no subscribers.
-        }
-
-        @Override
-        public void confirmLeasesWith(Function<Supplier<Duration>, Optional<LeaseConfirmation>> source) {
-            // No other daemon asks.
-        }
-
-        @Override
-        public void applyGrantors(GrantorView view) {
-            // No operation is limited.
-        }
-
-        @Override
-        public Set<EndpointName> unresponsiveEndpoints() {
-            return Set.of();
-        }
-
-        @Override
-        public Map<GroupName, ProvenPrimary> primariesProvenByEndpoints() {
-            return Map.of();
-        }
-
-        @Override
-        public Map<GroupName, ProvenPrimary> primariesReportedByEndpoints() {
-            return Map.of();
-        }
-
-        @Override
-        public boolean isBusy() {
-            return false;
-        }
-    }
-
     private static final class BusyStore implements FleetStore {
 
         private final AtomicInteger watches = new AtomicInteger();
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/RequestLogTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/RequestLogTest.java
@@ -23,7 +23,7 @@
     private final Logger logger = (Logger) LoggerFactory.getLogger(RequestLog.class);
     private final ListAppender<ILoggingEvent> logged = new ListAppender<>();
     private Duration now = START;
-    private final RequestLog log = new RequestLog(group -> "no state known", () -> now);
+    private final RequestLog log = new RequestLog(group -> "no state known", () -> "configuration 5", () -> now);
 
     @BeforeEach
     void attachAppender() {
@@ -55,6 +55,13 @@
                 .isEqualTo("[request] q1 of orders: NO_ELIGIBLE_ENDPOINT after 12 ms, as it could not be.");
     }
 
+    /** Guards against a denied database of which nobody can tell how old the configuration was that lacked it. */
+    @Test
+    void failureThatFollowsFromTheConfigurationSaysWhichOne() {
+        fail("q1", ErrorKind.UNKNOWN_GROUP, START);
+        assertThat(loggedLine(0)).endsWith("as it could not be; configuration 5.");
+    }
+
     @Test
     void limitsTheLinesOfEachKindAndReportsTheNumberOmitted() {
         for (int index = 0; index < RequestLog.MAX_BURST_LINES + 5; index++) {
