--- /dev/null
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/PropagationFaultPairsTest.java
@@ -0,0 +1,99 @@
+package org.lavenderwick.core.propagation;
+
+import java.time.Duration;
+import java.util.Random;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Checks in simulated time what daemons know of the configuration under every pair of faults. */
+class PropagationFaultPairsTest {
+
+    private static final int DEFAULT_SEEDS = 2;
+
+    /** Start of the first fault; the fleet has settled by then. */
+    private static final int FAULTS_FROM = 6000;
+
+    private static final int END = 22_000;
+
+    /**
+     * Runs a fleet of a random size under two faults that overlap at random, while the configuration changes. Even seeds
+     * have a fleet of more than one head for a failure domain and a bound of 5 s, odd ones a small fleet and 3 s.
+     */
+    private static PropagationSimulation run(PropagationFault first, PropagationFault second, long seed) {
+        boolean large = seed % 2 == 0;
+        Random draw = new Random(seed * 31 + first.ordinal() * 100L + second.ordinal());
+        int size = large ? 12 + draw.nextInt(84) : 6 + draw.nextInt(6);
+        PropagationSimulation simulation = new PropagationSimulation(
+                draw.nextLong(), Duration.ofSeconds(large ? 5 : 3), size, 3 + draw.nextInt(2));
+        int gap = draw.nextInt(5000);
+        simulation.at(FAULTS_FROM, () -> first.strike(simulation, 4000 + draw.nextInt(6000)));
+        simulation.at(FAULTS_FROM + gap, () -> second.strike(simulation, 4000 + draw.nextInt(6000)));
+        int change = 1000;
+        while (change < END) {
+            simulation.at(change, simulation.store::configure);
+            change += draw.nextInt(4) == 0 ? 100 + draw.nextInt(400) : 500 + draw.nextInt(4000);
+        }
+        simulation.run(END);
+        return simulation;
+    }
+
+    private interface Check {
+        void accept(String run, PropagationSimulation simulation);
+    }
+
+    private static void forEachPair(Check check) {
+        int seeds = Integer.getInteger("lavenderwick.propagation.pairs.seeds", DEFAULT_SEEDS);
+        for (PropagationFault first : PropagationFault.values()) {
+            for (PropagationFault second : PropagationFault.values()) {
+                for (long seed = 0; seed < seeds; seed++) {
+                    check.accept(first + " and " + second + ", seed " + seed, run(first, second, seed));
+                }
+            }
+        }
+    }
+
+    private static void assertInTime(String run, PropagationSimulation simulation) {
+        assertThat(simulation.worstLag().millis())
+                .as("%s: %s", run, simulation.worstLag())
+                .isLessThanOrEqualTo(simulation.bound().toMillis());
+    }
+
+    @Nested
+    class Arrival {
+
+        @Test
+        @Tag("known-red")
+        void everyChangeIsInForceInTime() {
+            forEachPair(PropagationFaultPairsTest::assertInTime);
+        }
+
+        /**
+         * Guards against daemons that have the store and do not read it, because daemons without the store pass old
+         * content to each other and each time call it a little younger.
+         */
+        @Test
+        @Tag("known-red")
+        void oldContentInCirculationKeepsNoDaemonFromTheStore() {
+            assertInTime("a busy fleet", run(PropagationFault.MOST_REFUSED, PropagationFault.FLEET_BUSY, 12));
+            assertInTime("slow hosts", run(PropagationFault.MOST_REFUSED, PropagationFault.HOSTS_SLOW, 4));
+            assertInTime("refusals", run(PropagationFault.MOST_REFUSED, PropagationFault.THIRD_BUSY, 26));
+        }
+    }
+
+    @Nested
+    class Denial {
+
+        /** Guards against 'no such database' from a daemon that knows that its configuration may be out of date. */
+        @Test
+        @Tag("known-red")
+        void noDaemonDeniesWhatHasBeenInForceForLongerThanTheBound() {
+            forEachPair((run, simulation) -> assertThat(simulation.worstDenial().millis())
+                    .as("%s: %s", run, simulation.worstDenial())
+                    .isLessThanOrEqualTo(simulation.bound().toMillis()));
+        }
+    }
+}
--- /dev/null
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/SimulatedDaemon.java
@@ -0,0 +1,389 @@
+package org.lavenderwick.core.propagation;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.lavenderwick.core.model.DaemonName;
+import org.lavenderwick.core.model.FailureDomain;
+import org.lavenderwick.core.time.Backoff;
+
+/** A daemon of a {@link PropagationSimulation}. */
+final class SimulatedDaemon {
+
+    private static final long STORE_TIMEOUT_MILLIS = 900;
+    private static final long CONNECT_TIMEOUT_MILLIS = 400;
+    private static final long HEARTBEAT_MILLIS = ChangeSources.HEARTBEAT_INTERVAL.toMillis();
+    private static final long RENEWAL_MILLIS = 2000;
+    private static final int BUSY_BATCH_DIVISOR = 6;
+
+    /** Time for which a daemon counts as live after its entry was removed. */
+    private static final long REMOVAL_GRACE_MILLIS = 5000;
+
+    /** How the store treats a daemon. */
+    enum StoreAccess {
+        SERVED,
+        SILENT,
+        BUSY
+    }
+
+    private final PropagationSimulation simulation;
+    private final DaemonName name;
+    private final FailureDomain domain;
+    private ChangeSources<DaemonName> sources;
+    private ContentVersion content;
+    private SimulatedStore.Content applied;
+    private final Map<DaemonName, Long> missingSince = new HashMap<>();
+    private Map<DaemonName, FailureDomain> peers = Map.of();
+    private final Set<SimulatedDaemon> subscribers = new LinkedHashSet<>();
+    private final Map<SimulatedDaemon, Long> lastArrival = new HashMap<>();
+    private SimulatedDaemon feed;
+    private long feedFailsAt;
+    private int life;
+    private boolean running;
+    private long frozenUntil;
+
+    /** Set by faults. */
+    StoreAccess access = StoreAccess.SERVED;
+
+    /** Set by faults: no link to any other daemon. */
+    boolean isolated;
+
+    /** Set by faults: some links are cut. */
+    boolean linksDisturbed;
+
+    /** Set by faults: longest additional delay of what the daemon sends, receives and reads. */
+    int slowMillis;
+
+    /** Set by faults: the same under a load that is no fault. */
+    int busyMillis;
+
+    private long disturbedAt;
+    private long noAccessAt;
+    private long noLinksAt;
+    private long stableMillis;
+
+    SimulatedDaemon(PropagationSimulation simulation, DaemonName name, FailureDomain domain) {
+        this.simulation = simulation;
+        this.name = name;
+        this.domain = domain;
+    }
+
+    DaemonName name() {
+        return name;
+    }
+
+    FailureDomain domain() {
+        return domain;
+    }
+
+    boolean isRunning() {
+        return running && !isFrozen();
+    }
+
+    boolean isConfigured() {
+        return applied != null;
+    }
+
+    long version() {
+        return applied.version();
+    }
+
+    ContentStatus status() {
+        return new ContentStatus(content.revision(), content.currentAt(), "a source");
+    }
+
+    private boolean isFrozen() {
+        return simulation.now() < frozenUntil;
+    }
+
+    private boolean isServed() {
+        return access == StoreAccess.SERVED && !simulation.cutDomains.contains(domain);
+    }
+
+    /** Records the faults that the daemon has now; what it returns next tells whether it had any for a time. */
+    void observe(long millis) {
+        stableMillis = millis;
+        long now = simulation.now();
+        disturbedAt = !isRunning() || slowMillis > 0 ? now : disturbedAt;
+        noAccessAt = isServed() ? noAccessAt : now;
+        noLinksAt = isolated || linksDisturbed || simulation.cutDomains.contains(domain) ? now : noLinksAt;
+    }
+
+    private boolean isLongAgo(long time) {
+        return simulation.now() - time > stableMillis;
+    }
+
+    boolean isUndisturbed() {
+        return isLongAgo(disturbedAt);
+    }
+
+    boolean hasStoreForLong() {
+        return isUndisturbed() && isLongAgo(noAccessAt);
+    }
+
+    boolean hasLinksForLong() {
+        return isLongAgo(noLinksAt);
+    }
+
+    void start() {
+        life++;
+        running = true;
+        content = ContentVersion.create();
+        applied = null;
+        peers = Map.of();
+        missingSince.clear();
+        lastArrival.clear();
+        feed = null;
+        Backoff backoff = Backoff.create(Duration.ofMillis(50), Duration.ofMillis(1600), simulation.random);
+        List<DaemonName> seeds = simulation.daemons.subList(0, Math.min(3, simulation.daemons.size())).stream()
+                .map(SimulatedDaemon::name)
+                .filter(seed -> !seed.equals(name))
+                .toList();
+        sources = ChangeSources.create(simulation.bound(), backoff, seeds, simulation.time());
+        inLife(0, this::readStore);
+        inLife(0, this::readFeed);
+        inLife(0, this::sendHeartbeat);
+        inLife(0, this::maintainEntry);
+    }
+
+    /** Kills the process and starts it again. */
+    void restart(long downMillis) {
+        if (!running) {
+            return;
+        }
+        life++;
+        running = false;
+        // The connections of a process that ends are closed at once.
+        List.copyOf(subscribers).forEach(subscriber -> subscriber.feedEnded(this));
+        subscribers.clear();
+        if (feed != null) {
+            feed.subscribers.remove(this);
+        }
+        simulation.at(simulation.now() + downMillis, this::start);
+    }
+
+    /** Stops the process for a while; it goes on as if nothing had happened. */
+    void freeze(long millis) {
+        frozenUntil = simulation.now() + millis;
+    }
+
+    private void inLife(long delay, Runnable action) {
+        int current = life;
+        simulation.at(simulation.now() + delay, () -> {
+            if (life != current) {
+                return;
+            }
+            if (isFrozen()) {
+                inLife(frozenUntil - simulation.now(), action);
+            } else {
+                action.run();
+            }
+        });
+    }
+
+    private long slowness() {
+        int millis = slowMillis + busyMillis;
+        return millis == 0 ? 0 : simulation.random.nextInt(millis);
+    }
+
+    private void learn(boolean complete, SimulatedStore.Content delivered, long knownAt) {
+        boolean known = content.isKnown();
+        if (!content.accept(complete, delivered.revision(), Duration.ofMillis(knownAt))) {
+            return;
+        }
+        applied = delivered;
+        updatePeers();
+        if (known && complete) {
+            // A feed ends its subscriptions when its content is replaced.
+            List.copyOf(subscribers).forEach(subscriber -> subscriber.feedEnded(this));
+        }
+        List.copyOf(subscribers).forEach(this::sendBatch);
+    }
+
+    /** Updates the live daemons; one whose entry was removed counts as live for a while. */
+    private void updatePeers() {
+        Map<DaemonName, FailureDomain> live = new HashMap<>(applied.members());
+        missingSince.keySet().removeAll(live.keySet());
+        peers.forEach((peer, peerDomain) -> {
+            if (!live.containsKey(peer)) {
+                long since = missingSince.computeIfAbsent(peer, missing -> simulation.now());
+                if (simulation.now() - since < REMOVAL_GRACE_MILLIS) {
+                    live.put(peer, peerDomain);
+                }
+            }
+        });
+        live.put(name, domain);
+        if (!live.equals(peers)) {
+            peers = live;
+            SourceSelection.Selection selection = SourceSelection.select(name, peers);
+            sources.update(selection.role(), selection.feeds());
+        }
+    }
+
+    private void maintainEntry() {
+        if (isServed() && content.isKnown()) {
+            simulation.store.renew(name, domain);
+        }
+        if (content.isKnown()) {
+            updatePeers();
+        }
+        inLife(content.isKnown() ? RENEWAL_MILLIS : 100, this::maintainEntry);
+    }
+
+    private void readStore() {
+        long delay = sources.storeDelay(content, simulation.time()).toMillis();
+        SimulatedStore store = simulation.store;
+        if (delay > 0) {
+            inLife(Math.min(delay, 50), this::readStore);
+        } else if (!isServed()) {
+            long wait = sources.maxStoreWait(content, simulation.time()).toMillis();
+            inLife(access == StoreAccess.BUSY ? 10 : STORE_TIMEOUT_MILLIS + wait, this::onStoreFailure);
+        } else if (!content.isKnown() || !store.hasHistorySince(content.revision())) {
+            long sentAt = simulation.now();
+            SimulatedStore.Content loaded = store.content();
+            inLife(10 + simulation.random.nextInt(50) + slowness(), () -> onStoreResponse(true, loaded, sentAt));
+        } else if (content.revision() < store.content().revision() && !store.isDeaf()) {
+            SimulatedStore.Content changed = store.content();
+            long sentAt = simulation.now();
+            inLife(4 + simulation.random.nextInt(5) + slowness(), () -> onStoreResponse(false, changed, sentAt));
+        } else {
+            watch();
+        }
+    }
+
+    private void watch() {
+        SimulatedStore.Content before = applied;
+        boolean[] over = {false};
+        int current = life;
+        simulation.store.watch(() -> {
+            if (!over[0] && life == current) {
+                over[0] = true;
+                inLife(0, this::readStore);
+            }
+        });
+        inLife(sources.maxStoreWait(content, simulation.time()).toMillis() + 4, () -> {
+            if (!over[0]) {
+                over[0] = true;
+                // An empty watch shows nothing that a feed has not delivered meanwhile.
+                onStoreResponse(false, before.revision() > applied.revision() ? before : applied, simulation.now());
+            }
+        });
+    }
+
+    private void onStoreFailure() {
+        sources.onStoreFailure(simulation.time());
+        readStore();
+    }
+
+    private void onStoreResponse(boolean complete, SimulatedStore.Content response, long knownAt) {
+        if (!isServed()) {
+            inLife(STORE_TIMEOUT_MILLIS, this::onStoreFailure);
+            return;
+        }
+        boolean changed = complete || response.revision() > content.revision();
+        learn(complete, response, knownAt);
+        sources.onStoreResponse();
+        inLife(changed ? simulation.bound().toMillis() / BUSY_BATCH_DIVISOR : 0, this::readStore);
+    }
+
+    private void readFeed() {
+        Optional<DaemonName> selected = sources.selectFeed(content, simulation.time());
+        if (selected.isEmpty()) {
+            inLife(100, this::readFeed);
+            return;
+        }
+        SimulatedDaemon source = simulation.daemon(selected.get());
+        if (!simulation.reaches(this, source) || !simulation.reaches(source, this) || source.isFrozen()) {
+            inLife(CONNECT_TIMEOUT_MILLIS, () -> onFeedFailed(source));
+            return;
+        }
+        inLife(5 + simulation.random.nextInt(40), () -> {
+            if (!source.running || source.content == null || !source.content.isKnown()) {
+                onFeedFailed(source);
+            } else {
+                source.subscribers.add(this);
+                lastArrival.remove(source);
+                feedFailsAt = simulation.now()
+                        + sources.feedTimeout(content, simulation.time()).toMillis();
+                feed = source;
+                source.sendBatch(this);
+                superviseFeed(source);
+            }
+        });
+    }
+
+    private void superviseFeed(SimulatedDaemon source) {
+        if (feed != source) {
+            return;
+        }
+        if (simulation.now() > feedFailsAt) {
+            leave(source);
+            onFeedFailed(source);
+        } else if (!sources.isPreferred(source.name, content, simulation.time())) {
+            leave(source);
+            sources.onFeedClosed(simulation.time());
+            readFeed();
+        } else {
+            inLife(100, () -> superviseFeed(source));
+        }
+    }
+
+    private void feedEnded(SimulatedDaemon source) {
+        if (feed == source && simulation.reaches(source, this)) {
+            leave(source);
+            inLife(1, () -> onFeedFailed(source));
+        }
+    }
+
+    private void leave(SimulatedDaemon source) {
+        source.subscribers.remove(this);
+        feed = null;
+    }
+
+    private void onFeedFailed(SimulatedDaemon source) {
+        sources.onFeedFailed(source.name, simulation.time());
+        readFeed();
+    }
+
+    private void sendHeartbeat() {
+        if (content.isKnown()) {
+            List.copyOf(subscribers).forEach(this::sendBatch);
+        }
+        inLife(HEARTBEAT_MILLIS, this::sendHeartbeat);
+    }
+
+    /** Sends the content as of now over a connection, which keeps the order. */
+    private void sendBatch(SimulatedDaemon subscriber) {
+        if (!simulation.reaches(this, subscriber)) {
+            return;
+        }
+        SimulatedStore.Content sent = applied;
+        long age = simulation.now() - content.currentAt().toMillis();
+        long delay = 3
+                + (simulation.random.nextInt(10) == 0 ? simulation.random.nextInt(150) : simulation.random.nextInt(20));
+        long arrival = Math.max(
+                simulation.now() + delay + slowness() + subscriber.slowness(),
+                subscriber.lastArrival.getOrDefault(this, 0L));
+        subscriber.lastArrival.put(this, arrival);
+        subscriber.inLife(arrival - simulation.now(), () -> {
+            if (subscriber.feed == this) {
+                subscriber.onBatch(this, sent, age);
+            }
+        });
+    }
+
+    private void onBatch(SimulatedDaemon source, SimulatedStore.Content delivered, long age) {
+        learn(true, delivered, simulation.now() - age);
+        feedFailsAt = simulation.now()
+                + sources.feedTimeout(content, simulation.time()).toMillis();
+        if (!sources.onFeedBatch(source.name, Duration.ofMillis(age))) {
+            leave(source);
+            onFeedFailed(source);
+        }
+    }
+}
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionFeedTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionFeedTest.java
@@ -8,6 +8,7 @@
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.lavenderwick.daemon.session.FeedProtocol;
 import org.lavenderwick.platform.standin.OperatorStandin;
@@ -80,6 +81,38 @@
         }
     }
 
+    /** Guards against a daemon with the store that the others cannot know, because it joined after they lost the store. */
+    @Test
+    @Tag("known-red")
+    void changesReachDaemonsThatLostTheStoreBeforeTheOnlyOneWithAccessJoined() throws Exception {
+        List<SessionFleet.Member> members = startOneDomain();
+        members.forEach(fleet::refuseStoreCalls);
+        SessionFleet.Member joined =
+                fleet.launchDaemon("z1", List.of(members.get(0).peerAddress()));
+        SessionFleet.awaitService(joined);
+        assertConfigurationArrivesInTime(2);
+    }
+
+    /** Guards against 'no such database' from a daemon that cannot know the newest configuration. */
+    @Test
+    @Tag("known-red")
+    void daemonThatMayLackAConfigurationDoesNotDenyItsDatabase() throws Exception {
+        SessionFleet.Member member = fleet.startDaemon();
+        assertThat(openingError(member, "added")).startsWith("ERROR NODB");
+        fleet.refuseStoreCalls(member);
+        OperatorStandin.configure(fleet.store(), 2, "added", "primary", SessionFleet.GROUP, 1000);
+        Thread.sleep(SessionFleet.MAX_CONFIGURATION_DELAY.toMillis());
+        assertThat(openingError(member, "added")).startsWith("ERROR BUSY");
+        assertThat(SessionFleet.acceptsSessions(member, SessionFleet.DATABASE)).isTrue();
+    }
+
+    private static String openingError(SessionFleet.Member member, String database) throws IOException {
+        try (SessionClient client = SessionClient.connect(member.address())) {
+            client.send("CONNECT " + database + " me");
+            return client.line();
+        }
+    }
+
     /** Guards against calls to the store that grow with the fleet, and against followers without evidence. */
     @Test
     void followersLetOthersConfirmTheirLeaseRenewals() throws Exception {
