Date the content of a feed from round trips, not from its arrival

Callers got 'no such database' from daemons that could read the store, more than 5 s after the configuration with it had been confirmed.

Cause: a daemon reads the store only when its content is too old, and dated the content of a feed from the arrival of a batch. Time in transit counted as recent. Daemons that had lost the store passed the same content to each other and made it a little younger each time, so the followers that had the store did not call it.

A subscriber now sends a numbered probe with each heartbeat and dates content from the time at which it sent the last probe that was answered. Whatever follows the answer was sent later than that, so content is never taken to be younger than it is, over any number of feeds. Daemons of earlier versions get no probes, and their feeds are read as before.

A guard shows that dating by arrival still misses the bound.

--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/PropagationFaultPairsTest.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/PropagationFaultPairsTest.java
@@ -20,10 +20,10 @@
     private static final int END = 22_000;
 
     /**
-     * Runs a fleet of a random size under two faults that overlap at random, while the configuration changes. Even seeds
+     * Returns a fleet of a random size under two faults that overlap at random, while the configuration changes. Even seeds
      * have a fleet of more than one head for a failure domain and a bound of 5 s, odd ones a small fleet and 3 s.
      */
-    private static PropagationSimulation run(PropagationFault first, PropagationFault second, long seed) {
+    private static PropagationSimulation create(PropagationFault first, PropagationFault second, long seed) {
         boolean large = seed % 2 == 0;
         Random draw = new Random(seed * 31 + first.ordinal() * 100L + second.ordinal());
         int size = large ? 12 + draw.nextInt(84) : 6 + draw.nextInt(6);
@@ -37,6 +37,11 @@
             simulation.at(change, simulation.store::configure);
             change += draw.nextInt(4) == 0 ? 100 + draw.nextInt(400) : 500 + draw.nextInt(4000);
         }
+        return simulation;
+    }
+
+    private static PropagationSimulation run(PropagationFault first, PropagationFault second, long seed) {
+        PropagationSimulation simulation = create(first, second, seed);
         simulation.run(END);
         return simulation;
     }
@@ -66,7 +71,6 @@
     class Arrival {
 
         @Test
-        @Tag("known-red")
         void everyChangeIsInForceInTime() {
             forEachPair(PropagationFaultPairsTest::assertInTime);
         }
@@ -76,12 +80,21 @@
          * content to each other and each time call it a little younger.
          */
         @Test
-        @Tag("known-red")
         void oldContentInCirculationKeepsNoDaemonFromTheStore() {
             assertInTime("a busy fleet", run(PropagationFault.MOST_REFUSED, PropagationFault.FLEET_BUSY, 12));
             assertInTime("slow hosts", run(PropagationFault.MOST_REFUSED, PropagationFault.HOSTS_SLOW, 4));
             assertInTime("refusals", run(PropagationFault.MOST_REFUSED, PropagationFault.THIRD_BUSY, 26));
         }
+
+        /** The guard of the design: content that is dated from its arrival misses the bound. */
+        @Test
+        void contentThatIsDatedFromItsArrivalMissesTheBound() {
+            PropagationSimulation simulation = create(PropagationFault.MOST_REFUSED, PropagationFault.FLEET_BUSY, 12);
+            simulation.dateByArrival();
+            simulation.run(END);
+            assertThat(simulation.worstLag().millis())
+                    .isGreaterThan(simulation.bound().toMillis());
+        }
     }
 
     @Nested
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/PropagationSimulation.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/PropagationSimulation.java
@@ -52,6 +52,7 @@
             new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
     private final Duration bound;
     private BiPredicate<ContentStatus, Duration> mayDeny = (status, now) -> true;
+    private boolean datesByArrival;
     private long now;
     private long eventCount;
     private Lag worstLag = Lag.NONE;
@@ -83,6 +84,15 @@
         mayDeny = rule;
     }
 
+    /** Makes the daemons date the content of feeds from its arrival, as those of earlier versions do. */
+    void dateByArrival() {
+        datesByArrival = true;
+    }
+
+    boolean datesByArrival() {
+        return datesByArrival;
+    }
+
     void at(long time, Runnable action) {
         events.add(new Event(time, eventCount++, action));
     }
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/SimulatedDaemon.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/SimulatedDaemon.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 
 import org.lavenderwick.core.model.DaemonName;
@@ -42,6 +43,7 @@
     private final Set<SimulatedDaemon> subscribers = new LinkedHashSet<>();
     private final Map<SimulatedDaemon, Long> lastArrival = new HashMap<>();
     private SimulatedDaemon feed;
+    private FeedProbes probes;
     private long feedFailsAt;
     private int life;
     private boolean running;
@@ -240,7 +242,10 @@
         SimulatedStore store = simulation.store;
         if (delay > 0) {
             inLife(Math.min(delay, 50), this::readStore);
-        } else if (!isServed()) {
+            return;
+        }
+        store.count();
+        if (!isServed()) {
             long wait = sources.maxStoreWait(content, simulation.time()).toMillis();
             inLife(access == StoreAccess.BUSY ? 10 : STORE_TIMEOUT_MILLIS + wait, this::onStoreFailure);
         } else if (!content.isKnown() || !store.hasHistorySince(content.revision())) {
@@ -302,6 +307,7 @@
             inLife(CONNECT_TIMEOUT_MILLIS, () -> onFeedFailed(source));
             return;
         }
+        Duration subscribedAt = simulation.time();
         inLife(5 + simulation.random.nextInt(40), () -> {
             if (!source.running || source.content == null || !source.content.isKnown()) {
                 onFeedFailed(source);
@@ -311,6 +317,7 @@
                 feedFailsAt = simulation.now()
                         + sources.feedTimeout(content, simulation.time()).toMillis();
                 feed = source;
+                probes = simulation.datesByArrival() ? FeedProbes.unsupported() : FeedProbes.create(subscribedAt);
                 source.sendBatch(this);
                 superviseFeed(source);
             }
@@ -357,33 +364,55 @@
         inLife(HEARTBEAT_MILLIS, this::sendHeartbeat);
     }
 
-    /** Sends the content as of now over a connection, which keeps the order. */
+    /** Sends the content as of now to a subscriber. */
     private void sendBatch(SimulatedDaemon subscriber) {
-        if (!simulation.reaches(this, subscriber)) {
-            return;
-        }
         SimulatedStore.Content sent = applied;
-        long age = simulation.now() - content.currentAt().toMillis();
-        long delay = 3
-                + (simulation.random.nextInt(10) == 0 ? simulation.random.nextInt(150) : simulation.random.nextInt(20));
-        long arrival = Math.max(
-                simulation.now() + delay + slowness() + subscriber.slowness(),
-                subscriber.lastArrival.getOrDefault(this, 0L));
-        subscriber.lastArrival.put(this, arrival);
-        subscriber.inLife(arrival - simulation.now(), () -> {
+        Duration age = simulation.time().minus(content.currentAt());
+        send(subscriber, () -> {
             if (subscriber.feed == this) {
-                subscriber.onBatch(this, sent, age);
+                subscriber.onBatch(this, sent, age, age);
             }
         });
     }
 
-    private void onBatch(SimulatedDaemon source, SimulatedStore.Content delivered, long age) {
-        learn(true, delivered, simulation.now() - age);
+    /** Sends a message over a connection, which keeps the order; it is lost if the link is cut. */
+    private void send(SimulatedDaemon receiver, Runnable onArrival) {
+        if (!simulation.reaches(this, receiver)) {
+            return;
+        }
+        Random random = simulation.random;
+        long delay = 3 + (random.nextInt(10) == 0 ? random.nextInt(150) : random.nextInt(20));
+        long arrival = Math.max(
+                simulation.now() + delay + slowness() + receiver.slowness(),
+                receiver.lastArrival.getOrDefault(this, 0L));
+        receiver.lastArrival.put(this, arrival);
+        receiver.inLife(arrival - simulation.now(), onArrival);
+    }
+
+    private void onBatch(SimulatedDaemon source, SimulatedStore.Content delivered, Duration age, Duration oldest) {
+        learn(true, delivered, probes.knownAt(age, simulation.time()).toMillis());
         feedFailsAt = simulation.now()
                 + sources.feedTimeout(content, simulation.time()).toMillis();
-        if (!sources.onFeedBatch(source.name, Duration.ofMillis(age))) {
+        if (!sources.onFeedBatch(source.name, oldest)) {
             leave(source);
             onFeedFailed(source);
+        } else if (probes.isDue(simulation.time())) {
+            long number = probes.next(simulation.time());
+            send(source, () -> source.answerProbe(this, number));
         }
     }
+
+    private void answerProbe(SimulatedDaemon subscriber, long number) {
+        if (!content.isKnown()) {
+            return;
+        }
+        SimulatedStore.Content sent = applied;
+        Duration age = simulation.time().minus(content.currentAt());
+        send(subscriber, () -> {
+            if (subscriber.feed == this && subscriber.probes.onAnswer(number)) {
+                Duration now = simulation.time();
+                subscriber.onBatch(this, sent, age, now.minus(subscriber.probes.knownAt(age, now)));
+            }
+        });
+    }
 }
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/SimulatedStore.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/SimulatedStore.java
@@ -32,6 +32,7 @@
     private Content content = new Content(EraRevision.of(EraRevision.FIRST_ERA, 0), 0, ImmutableMap.of());
     private boolean deaf;
     private long historySince;
+    private long calls;
     private long unstableAt = Long.MIN_VALUE / 2;
 
     SimulatedStore(PropagationSimulation simulation) {
@@ -43,6 +44,16 @@
         return content;
     }
 
+    /** Counts a call that reads from the store. */
+    void count() {
+        calls++;
+    }
+
+    /** Returns the number of reading calls so far, including those that were refused. */
+    long calls() {
+        return calls;
+    }
+
     /** Returns whether the changes after a revision can still be returned. */
     boolean hasHistorySince(long revision) {
         return revision >= historySince;
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/ChangeInbox.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/ChangeInbox.java
@@ -138,7 +138,7 @@
                     "[fleet] Read the store content of %d ms ago from another daemon.",
                     batch.age().toMillis());
         }
-        deliver(batch.complete(), batch.changes(), clock.now().minus(batch.age()), "the feed of " + describe(feed));
+        deliver(batch.complete(), batch.changes(), batch.knownAt(), "the feed of " + describe(feed));
         return sources.onFeedBatch(feed, batch.age());
     }
 
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FeedReader.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FeedReader.java
@@ -3,11 +3,14 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
 
 import org.jboss.logging.Logger;
 import org.lavenderwick.core.store.StoreChange;
+import org.lavenderwick.core.time.MonotonicClock;
 
 /** The task of the thread that reads store changes from the feeds of other daemons, one feed at a time. */
 final class FeedReader implements Runnable {
@@ -15,11 +18,19 @@
     /** Time until the next look for a feed if there is none to read. */
     private static final Duration POLL_INTERVAL = Duration.ofMillis(100);
 
+    /**
+     * Time for which a daemon that does not know probes gets none. It may be replaced by one of a later version at the
+     * same address.
+     */
+    private static final Duration UNSUPPORTED_MEMORY = Duration.ofSeconds(30);
+
     private static final Logger LOG = Logger.getLogger(FeedReader.class);
 
     private final ChangeInbox inbox;
     private final Function<String, Optional<StoreChange>> decoder;
     private final LeaseConfirmations confirmations;
+    private final MonotonicClock clock;
+    private final Map<InetSocketAddress, Duration> notProbedUntil = new HashMap<>();
 
     /**
      * Creates a reader.
@@ -27,10 +38,15 @@
      * @param decoder decodes a change that another daemon forwarded
      * @param confirmations uses the feed that is being read
      */
-    FeedReader(ChangeInbox inbox, Function<String, Optional<StoreChange>> decoder, LeaseConfirmations confirmations) {
+    FeedReader(
+            ChangeInbox inbox,
+            Function<String, Optional<StoreChange>> decoder,
+            LeaseConfirmations confirmations,
+            MonotonicClock clock) {
         this.inbox = inbox;
         this.decoder = decoder;
         this.confirmations = confirmations;
+        this.clock = clock;
     }
 
     @Override
@@ -51,7 +67,10 @@
 
     /** Reads a feed until it fails, is too old, or another feed is preferred. */
     private void read(InetSocketAddress source) {
-        try (PeerFeed feed = PeerFeed.open(source, inbox.revision(), decoder, confirmations::onConfirmed)) {
+        notProbedUntil.values().removeIf(until -> until.compareTo(clock.now()) <= 0);
+        boolean probing = !notProbedUntil.containsKey(source);
+        try (PeerFeed feed =
+                PeerFeed.open(source, inbox.revision(), probing, clock, decoder, confirmations::onConfirmed)) {
             confirmations.onFeedOpened(source, feed);
             while (inbox.isPreferredFeed(source) && !Thread.currentThread().isInterrupted()) {
                 if (!inbox.deliverFromFeed(source, feed.nextBatch(inbox.feedTimeout()))) {
@@ -59,6 +78,10 @@
                 }
             }
             inbox.onFeedClosed();
+        } catch (PeerFeed.ProbesUnsupportedException e) {
+            LOG.infof("[fleet] The daemon at %s does not answer probes; reading its feed without.", source);
+            notProbedUntil.put(source, clock.now().plus(UNSUPPORTED_MEMORY));
+            inbox.onFeedClosed();
         } catch (IOException e) {
             LOG.debugf("[fleet] Stopped reading store changes from the daemon at %s: %s.", source, e.getMessage());
             inbox.onFeedFailed(source);
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
@@ -147,7 +147,7 @@
                         : Optional.empty());
         this.tasks = Map.of(
                 "store", changeReader,
-                "feed", new FeedReader(inbox, store::decode, confirmations),
+                "feed", new FeedReader(inbox, store::decode, confirmations, clock),
                 "evidence", renewal,
                 "upkeep", upkeep);
     }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/PeerFeed.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/PeerFeed.java
@@ -13,8 +13,10 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 
+import org.lavenderwick.core.propagation.FeedProbes;
 import org.lavenderwick.core.store.StoreChange;
 import org.lavenderwick.core.store.StoreChanges;
+import org.lavenderwick.core.time.MonotonicClock;
 import org.lavenderwick.daemon.session.FeedProtocol;
 
 /** A subscription to the store changes that another daemon forwards, over one connection. Its methods block. */
@@ -27,22 +29,40 @@
      * Store changes that the peer sent together.
      *
      * @param complete whether the changes are the entire content, so that everything else was removed
-     * @param age time since the changes were last known to be the newest ones
+     * @param knownAt monotonic time at which the changes were certainly the newest ones
+     * @param age time since they were the newest ones as far as this batch shows; not more than the time since {@code
+     *     knownAt}, which may lack the time since the last probe
      */
-    record Batch(boolean complete, StoreChanges changes, Duration age) {}
+    record Batch(boolean complete, StoreChanges changes, Duration knownAt, Duration age) {}
+
+    /** The peer took a probe for a line that it does not know, as daemons of earlier versions do. */
+    static final class ProbesUnsupportedException extends IOException {
+
+        private static final long serialVersionUID = 1L;
+
+        ProbesUnsupportedException() {
+            super("the peer does not answer probes");
+        }
+    }
 
     private final Socket socket;
     private final BufferedReader reader;
     private final Function<String, Optional<StoreChange>> decoder;
     private final Consumer<FeedProtocol.Confirmed> onConfirmed;
+    private final FeedProbes probes;
+    private final MonotonicClock clock;
 
     private PeerFeed(
             Socket socket,
             BufferedReader in,
+            FeedProbes probes,
+            MonotonicClock clock,
             Function<String, Optional<StoreChange>> decoder,
             Consumer<FeedProtocol.Confirmed> onConfirmed) {
         this.socket = socket;
         this.reader = in;
+        this.probes = probes;
+        this.clock = clock;
         this.decoder = decoder;
         this.onConfirmed = onConfirmed;
     }
@@ -50,11 +70,14 @@
     /**
      * Connects to a peer and subscribes to all changes after the given revision, including future ones.
      *
+     * @param probing whether the peer is expected to answer probes
      * @param onConfirmed receives the confirmations of the peer while {@link #nextBatch} runs
      */
     static PeerFeed open(
             InetSocketAddress peer,
             long afterRevision,
+            boolean probing,
+            MonotonicClock clock,
             Function<String, Optional<StoreChange>> decoder,
             Consumer<FeedProtocol.Confirmed> onConfirmed)
             throws IOException {
@@ -62,10 +85,11 @@
         try {
             socket.connect(peer, (int) CONNECT_TIMEOUT.toMillis());
             socket.setTcpNoDelay(true);
+            FeedProbes probes = probing ? FeedProbes.create(clock.now()) : FeedProbes.unsupported();
             send(socket, FeedProtocol.formatSubscription(afterRevision));
             BufferedReader in =
                     new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
-            return new PeerFeed(socket, in, decoder, onConfirmed);
+            return new PeerFeed(socket, in, probes, clock, decoder, onConfirmed);
         } catch (IOException e) {
             socket.close();
             throw e;
@@ -82,11 +106,16 @@
     }
 
     /**
-     * Waits for the next batch of changes and returns it; fails if the feed ends or breaks the protocol.
+     * Waits for the next batch of changes and returns it; fails if the feed ends or breaks the protocol. The answer to
+     * a probe counts as a batch without changes.
      *
      * @param timeout time without data after which the feed fails
+     * @throws ProbesUnsupportedException if the peer does not know probes
      */
     Batch nextBatch(Duration timeout) throws IOException {
+        if (probes.isDue(clock.now())) {
+            send(socket, FeedProtocol.formatProbe(probes.next(clock.now())));
+        }
         socket.setSoTimeout((int) timeout.toMillis());
         List<StoreChange> changes = new ArrayList<>();
         List<String> encoded = new ArrayList<>();
@@ -97,10 +126,17 @@
                 throw new IOException("the peer closed the feed");
             }
             Optional<FeedProtocol.Confirmed> confirmed = FeedProtocol.parseConfirmed(line);
+            Optional<FeedProtocol.Probed> probed = FeedProtocol.parseProbed(line);
             if (confirmed.isPresent()) {
                 onConfirmed.accept(confirmed.get());
                 continue;
             }
+            if (probed.isPresent()) {
+                if (probes.onAnswer(probed.get().probe())) {
+                    return answer(probed.get().state());
+                }
+                continue;
+            }
             Optional<String> text = FeedProtocol.parseChange(line);
             Optional<FeedProtocol.BatchEnd> end = FeedProtocol.parseBatchEnd(line);
             if (line.equals(FeedProtocol.SNAPSHOT_START)) {
@@ -111,16 +147,28 @@
                     encoded.add(text.get());
                 });
             } else if (end.isPresent()) {
-                return new Batch(
+                return batch(
                         complete,
                         new StoreChanges(changes, encoded, end.get().revision()),
                         end.get().age());
+            } else if (probes.awaitsFirstAnswer()) {
+                throw new ProbesUnsupportedException();
             } else {
                 throw new IOException("the peer sent a line that the feed protocol does not define");
             }
         }
     }
 
+    private Batch batch(boolean complete, StoreChanges changes, Duration age) {
+        return new Batch(complete, changes, probes.knownAt(age, clock.now()), age);
+    }
+
+    private Batch answer(FeedProtocol.BatchEnd state) {
+        Duration now = clock.now();
+        Duration knownAt = probes.knownAt(state.age(), now);
+        return new Batch(false, new StoreChanges(List.of(), List.of(), state.revision()), knownAt, now.minus(knownAt));
+    }
+
     @Override
     public void close() throws IOException {
         socket.close();
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/FeedProtocol.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/FeedProtocol.java
@@ -16,6 +16,9 @@
  * these changes. Each later batch holds the changes since the one before. Every batch, even an empty one, ends with a
  * line that carries its revision and age.
  *
+ * <p>A subscriber may send numbered probes. The answer to a probe states the revision and the age of the content at the
+ * time of the answer; it follows all batches that were sent before it.
+ *
  * <p>A subscriber may ask the sender to confirm the lease of the term record. Requests are numbered, so that a late
  * response is not taken for the response to a later request.
  */
@@ -40,6 +43,12 @@
 
     private static final int CONFIRMED_NUMBERS_WITH_ERA = 4;
 
+    private static final String PROBE_PREFIX = "PROBE ";
+
+    private static final String PROBED_PREFIX = "PROBED ";
+
+    private static final int PROBED_NUMBERS = 3;
+
     /**
      * The line that ends a batch.
      *
@@ -99,6 +108,31 @@
         return valid ? Optional.of(numbers) : Optional.empty();
     }
 
+    /** The answer to a probe, with the number of the probe. */
+    public record Probed(long probe, BatchEnd state) {}
+
+    /** Returns the line that sends a probe. */
+    public static String formatProbe(long number) {
+        return PROBE_PREFIX + number;
+    }
+
+    /** Returns the number of a probe; empty if the line is not a valid one. */
+    static Optional<Long> parseProbe(String line) {
+        return parseNumber(line, PROBE_PREFIX);
+    }
+
+    /** Returns the line that answers a probe; the age is sent in milliseconds, rounded up. */
+    static String formatProbed(long number, long revision, Duration age) {
+        return PROBED_PREFIX + number + " " + revision + " " + (age.toMillis() + 1);
+    }
+
+    /** Returns the parsed answer to a probe; empty if the line is not a valid one. */
+    public static Optional<Probed> parseProbed(String line) {
+        return parseNumbers(line, PROBED_PREFIX, PROBED_NUMBERS)
+                .map(numbers ->
+                        new Probed(numbers.get(0), new BatchEnd(numbers.get(1), Duration.ofMillis(numbers.get(2)))));
+    }
+
     /** The response to a request for a confirmation, with the number of the request. */
     public record Confirmed(long request, LeaseConfirmation confirmation) {}
 
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/IncomingPeerConnection.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/IncomingPeerConnection.java
@@ -4,7 +4,8 @@
 
 /**
  * A connection accepted from another daemon. Its first line either subscribes to the feed of store changes, on which
- * confirmations may then be requested, or asks for permits, or opens a relayed session. Confined to the traffic thread.
+ * probes and requests for confirmations may follow, or asks for permits, or opens a relayed session. Confined to the
+ * traffic thread.
  */
 final class IncomingPeerConnection implements LineConnection.Listener {
 
@@ -39,10 +40,13 @@
         }
         Optional<Long> knownRevision = FeedProtocol.parseSubscription(text);
         Optional<Long> confirmation = FeedProtocol.parseConfirmationRequest(text);
+        Optional<Long> probe = FeedProtocol.parseProbe(text);
         if (knownRevision.isPresent()) {
             feed.subscribe(line, knownRevision.get());
         } else if (confirmation.isPresent()) {
             feed.confirmLease(line, confirmation.get());
+        } else if (probe.isPresent()) {
+            feed.answerProbe(line, probe.get());
         } else {
             RelayProtocol.Opening opening = RelayProtocol.parse(text);
             openSession(opening).onLine(opening.firstLine());
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/StoreFeed.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/StoreFeed.java
@@ -121,6 +121,15 @@
                 .ifPresent(confirmation -> subscriber.send(FeedProtocol.formatConfirmed(request, confirmation)));
     }
 
+    /** Answers a probe with the state of the content as of now, unless this daemon has not read the store yet. */
+    void answerProbe(LineConnection subscriber, long number) {
+        if (revision >= 0) {
+            // Not the time at which this iteration began: the probe may have been sent since then.
+            subscriber.send(FeedProtocol.formatProbed(
+                    number, revision, loop.currentTime().minus(currentAt)));
+        }
+    }
+
     /** Removes a subscriber without closing its connection. */
     void unsubscribe(LineConnection subscriber) {
         subscribers.remove(subscriber);
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/fleet/ChangeInboxTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/fleet/ChangeInboxTest.java
@@ -71,7 +71,7 @@
             now = now.plusMillis(500);
             inbox.deliverFromFeed(
                     InetSocketAddress.createUnresolved("d2", 7440),
-                    new PeerFeed.Batch(false, noChanges(7), Duration.ofMillis(100)));
+                    new PeerFeed.Batch(false, noChanges(7), now.minusMillis(100), Duration.ofMillis(90)));
             assertThat(inbox.appliedContent().describe(now))
                     .isEqualTo("store content of revision 7, known to be the newest 100 ms ago by the feed of d2:7440");
         }
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/fleet/LeaseConfirmationsTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/fleet/LeaseConfirmationsTest.java
@@ -38,7 +38,13 @@
     void openFeed() throws IOException {
         server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
         address = new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
-        feed = PeerFeed.open(address, -1, text -> Optional.empty(), confirmations::onConfirmed);
+        feed = PeerFeed.open(
+                address,
+                -1,
+                false,
+                () -> Duration.ofNanos(System.nanoTime()),
+                text -> Optional.empty(),
+                confirmations::onConfirmed);
         head = server.accept();
         head.setSoTimeout((int) TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS));
         requests = new BufferedReader(new InputStreamReader(head.getInputStream(), StandardCharsets.US_ASCII));
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/FeedProtocolTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/FeedProtocolTest.java
@@ -39,4 +39,19 @@
     void malformedConfirmationIsRejected(String line) {
         assertThat(FeedProtocol.parseConfirmed(line)).isEmpty();
     }
+
+    /** Guards against an age that rounding makes younger each time it is passed on. */
+    @Test
+    void answerToAProbeRoundsTheAgeUp() {
+        String line = FeedProtocol.formatProbed(4, 17, Duration.ofMillis(19));
+        assertThat(line).isEqualTo("PROBED 4 17 20");
+        assertThat(FeedProtocol.parseProbed(line))
+                .contains(new FeedProtocol.Probed(4, new FeedProtocol.BatchEnd(17, Duration.ofMillis(20))));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"PROBED 4 17", "PROBED 4 17 -1", "PROBED x 17 1", "PROBE 4"})
+    void malformedAnswerToAProbeIsRejected(String line) {
+        assertThat(FeedProtocol.parseProbed(line)).isEmpty();
+    }
 }
