Date the watches of the store from when they were sent

The age of the store content counted from the arrival of a response.

A watch without changes now dates the content from the end of the time that the store was to wait, and only if that time has passed. A watch with changes dates it from when the watch was sent, since the changes may have come at any time after that.

ChangeInboxTest covers the three cases; with the old dating, from the arrival, they expect an earlier time than they get.

--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/SimulatedDaemon.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/SimulatedDaemon.java
@@ -263,23 +263,30 @@
 
     private void watch() {
         SimulatedStore.Content before = applied;
+        long wait = sources.maxStoreWait(content, simulation.time()).toMillis();
+        long sentAt = simulation.now();
         boolean[] over = {false};
         int current = life;
         simulation.store.watch(() -> {
             if (!over[0] && life == current) {
                 over[0] = true;
-                inLife(0, this::readStore);
+                onWatchEnded(sentAt);
             }
         });
-        inLife(sources.maxStoreWait(content, simulation.time()).toMillis() + 4, () -> {
+        inLife(wait + 4 + slowness(), () -> {
             if (!over[0]) {
                 over[0] = true;
-                // An empty watch shows nothing that a feed has not delivered meanwhile.
-                onStoreResponse(false, before.revision() > applied.revision() ? before : applied, simulation.now());
+                onStoreResponse(false, before, sentAt + wait);
             }
         });
     }
 
+    private void onWatchEnded(long sentAt) {
+        SimulatedStore.Content changed = simulation.store.content();
+        boolean complete = !simulation.store.hasHistorySince(content.revision());
+        inLife(slowness(), complete ? this::readStore : () -> onStoreResponse(false, changed, sentAt));
+    }
+
     private void onStoreFailure() {
         sources.onStoreFailure(simulation.time());
         readStore();
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/ChangeInbox.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/ChangeInbox.java
@@ -84,10 +84,26 @@
         return content.revision();
     }
 
-    /** Delivers changes read from the store by a call that was sent at the given time. */
-    synchronized void deliverFromStore(boolean complete, StoreChanges changes, Duration sentAt) {
-        // A watch that ends without changes proves that there were none until its response was sent.
-        deliver(complete, changes, complete ? sentAt : clock.now(), "the store");
+    /** Delivers the entire content of the store, read by a call that was sent at the given time. */
+    synchronized void deliverContent(StoreChanges content, Duration sentAt) {
+        deliverFromStore(true, content, sentAt);
+    }
+
+    /**
+     * Delivers what a watch of the store returned. A watch without changes shows that there were none while it waited;
+     * one that returned changes may have done so at any time since it was sent.
+     *
+     * @param sentAt monotonic time before the watch was sent
+     * @param wait how long the store was to wait for changes; it counts whole milliseconds
+     */
+    synchronized void deliverWatch(StoreChanges changes, Duration sentAt, Duration wait) {
+        Duration end = sentAt.plusMillis(wait.toMillis());
+        boolean waited = changes.changes().isEmpty() && end.compareTo(clock.now()) <= 0;
+        deliverFromStore(false, changes, waited ? end : sentAt);
+    }
+
+    private void deliverFromStore(boolean complete, StoreChanges changes, Duration knownAt) {
+        deliver(complete, changes, knownAt, "the store");
         if (sources.onStoreResponse()) {
             LOG.info("[fleet] The store responds again; reading changes from it.");
         }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/StoreChangeReader.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/StoreChangeReader.java
@@ -79,13 +79,18 @@
         // A feed may have delivered later changes than the last call to the store; the watch continues after those.
         long known = inbox.revision();
         boolean complete = known == ContentVersion.NONE || historyLost;
+        Duration wait = complete ? Duration.ZERO : inbox.maxStoreWait();
         Duration sentAt = clock.now();
         // A watch can miss changes without an error, and a later one returns them or fails because the store no longer
         // has them. So each is short.
-        Either<Failure, StoreChanges> read = complete ? store.load() : store.awaitChanges(known, inbox.maxStoreWait());
+        Either<Failure, StoreChanges> read = complete ? store.load() : store.awaitChanges(known, wait);
         if (read.isRight()) {
             historyLost = false;
-            inbox.deliverFromStore(complete, read.get(), sentAt);
+            if (complete) {
+                inbox.deliverContent(read.get(), sentAt);
+            } else {
+                inbox.deliverWatch(read.get(), sentAt, wait);
+            }
             if (complete || !read.get().changes().isEmpty()) {
                 waitForMoreChanges();
             }
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/fleet/ChangeInboxTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/fleet/ChangeInboxTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Random;
 
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.lavenderwick.core.propagation.ChangeSources;
@@ -44,7 +45,7 @@
 
         @Test
         void isNoneBeforeTheFirstUpdateIsApplied() {
-            inbox.deliverFromStore(true, changes(7), now);
+            inbox.deliverContent(changes(7), now);
             assertThat(inbox.appliedContent()).isEqualTo(ContentStatus.NONE);
         }
 
@@ -52,12 +53,12 @@
         @Test
         void staysAsOldAsBeforeWhileAnUpdateIsInProgress() {
             Duration loadedAt = now;
-            inbox.deliverFromStore(true, changes(7), now);
+            inbox.deliverContent(changes(7), now);
             inbox.onUpdatesApplied(1);
             now = now.plusMillis(400);
-            inbox.deliverFromStore(false, changes(8), now);
+            inbox.deliverWatch(changes(8), now, Duration.ZERO);
             now = now.plusMillis(400);
-            inbox.deliverFromStore(false, noChanges(8), now);
+            inbox.deliverWatch(noChanges(8), now, Duration.ZERO);
             assertThat(inbox.appliedContent()).isEqualTo(new ContentStatus(7, loadedAt, "the store"));
 
             inbox.onUpdatesApplied(1);
@@ -66,7 +67,7 @@
 
         @Test
         void namesTheFeedThatShowedThatItIsTheNewest() {
-            inbox.deliverFromStore(true, changes(7), now);
+            inbox.deliverContent(changes(7), now);
             inbox.onUpdatesApplied(1);
             now = now.plusMillis(500);
             inbox.deliverFromFeed(
@@ -76,4 +77,37 @@
                     .isEqualTo("store content of revision 7, known to be the newest 100 ms ago by the feed of d2:7440");
         }
     }
+
+    @Nested
+    class Watch {
+
+        private final Duration sentAt = now;
+
+        @BeforeEach
+        void load() {
+            inbox.deliverContent(changes(7), sentAt.minusSeconds(1));
+            inbox.onUpdatesApplied(1);
+            now = sentAt.plusMillis(1700);
+        }
+
+        /** Guards against the transit of a response that makes content look younger than it is. */
+        @Test
+        void withoutChangesShowsThatThereWereNoneWhileItWaited() {
+            inbox.deliverWatch(noChanges(7), sentAt, Duration.ofMillis(1000));
+            assertThat(inbox.appliedContent().currentAt()).isEqualTo(sentAt.plusMillis(1000));
+        }
+
+        @Test
+        void thatWasCutShowsNothingAboutTheTimeItShouldHaveWaited() {
+            inbox.deliverWatch(noChanges(7), sentAt, Duration.ofMillis(3000));
+            assertThat(inbox.appliedContent().currentAt()).isEqualTo(sentAt);
+        }
+
+        @Test
+        void withChangesShowsOnlyWhatWasTheNewestWhenItWasSent() {
+            inbox.deliverWatch(changes(8), sentAt, Duration.ofMillis(1000));
+            inbox.onUpdatesApplied(1);
+            assertThat(inbox.appliedContent().currentAt()).isEqualTo(sentAt);
+        }
+    }
 }
