--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/PropagationFault.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/PropagationFault.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.function.BiConsumer;
 
-import org.lavenderwick.core.propagation.SimulatedDaemon.StoreAccess;
+import org.lavenderwick.core.propagation.SimulatedHost.StoreAccess;
 
 /** Faults of a {@link PropagationSimulation}. */
 enum PropagationFault {
@@ -25,22 +25,22 @@
         simulation.at(simulation.now() + millis, () -> simulation.cutDomains.remove(any.domain()));
     }),
     DAEMONS_ISOLATED((simulation, millis) -> simulation.some(0.17).forEach(daemon -> {
-        daemon.isolated = true;
-        simulation.at(simulation.now() + millis, () -> daemon.isolated = false);
+        daemon.host().isolated = true;
+        simulation.at(simulation.now() + millis, () -> daemon.host().isolated = false);
     })),
     LINKS_CUT_ONE_WAY((simulation, millis) -> simulation.some(0.05).forEach(from -> {
         simulation.daemons.stream().filter(to -> to != from).forEach(to -> simulation.cutLink(from, to));
         simulation.at(simulation.now() + millis, () -> simulation.healLinks(from));
     })),
     DAEMONS_FROZEN((simulation, millis) ->
-            simulation.some(0.2).forEach(daemon -> daemon.freeze(1000 + simulation.random.nextInt(4000)))),
+            simulation.some(0.2).forEach(daemon -> daemon.host().freeze(1000 + simulation.random.nextInt(4000)))),
     HOSTS_SLOW((simulation, millis) -> simulation.some(0.3).forEach(daemon -> {
-        daemon.slowMillis = 700;
-        simulation.at(simulation.now() + millis, () -> daemon.slowMillis = 0);
+        daemon.host().slowMillis = 700;
+        simulation.at(simulation.now() + millis, () -> daemon.host().slowMillis = 0);
     })),
     FLEET_BUSY((simulation, millis) -> simulation.daemons.forEach(daemon -> {
-        daemon.busyMillis = 200;
-        simulation.at(simulation.now() + millis, () -> daemon.busyMillis = 0);
+        daemon.host().busyMillis = 200;
+        simulation.at(simulation.now() + millis, () -> daemon.host().busyMillis = 0);
     })),
     DAEMONS_ADDED((simulation, millis) -> {
         for (int added = 0; added < 2; added++) {
@@ -62,7 +62,8 @@
 
     private static void refuse(
             PropagationSimulation simulation, List<SimulatedDaemon> daemons, StoreAccess access, long millis) {
-        daemons.forEach(daemon -> daemon.access = access);
-        simulation.at(simulation.now() + millis, () -> daemons.forEach(daemon -> daemon.access = StoreAccess.SERVED));
+        daemons.forEach(daemon -> daemon.host().access = access);
+        simulation.at(
+                simulation.now() + millis, () -> daemons.forEach(daemon -> daemon.host().access = StoreAccess.SERVED));
     }
 }
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/PropagationSimulation.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/PropagationSimulation.java
@@ -126,12 +126,12 @@
 
     void cutLink(SimulatedDaemon from, SimulatedDaemon to) {
         cutLinks.add(from.name() + ">" + to.name());
-        from.linksDisturbed = true;
+        from.host().linksDisturbed = true;
     }
 
     void healLinks(SimulatedDaemon from) {
         cutLinks.removeIf(link -> link.startsWith(from.name() + ">"));
-        from.linksDisturbed = false;
+        from.host().linksDisturbed = false;
     }
 
     /** Returns whether what one daemon sends arrives at another one now. */
@@ -139,7 +139,7 @@
         boolean sameSide = from.domain().equals(to.domain())
                 || !(cutDomains.contains(from.domain()) || cutDomains.contains(to.domain()));
         return sameSide
-                && !((from.isolated || to.isolated) && from != to)
+                && !((from.host().isolated || to.host().isolated) && from != to)
                 && (cutLinks.isEmpty() || !cutLinks.contains(from.name() + ">" + to.name()));
     }
 
@@ -156,8 +156,8 @@
     private void sample() {
         long withAccess = 0;
         for (SimulatedDaemon daemon : daemons) {
-            daemon.observe(STABLE_MILLIS);
-            withAccess += daemon.hasStoreForLong() ? 1 : 0;
+            daemon.host().observe(daemon.isRunning());
+            withAccess += daemon.host().hasStore() ? 1 : 0;
         }
         boolean enoughAccess = withAccess * ACCESS_DIVISOR >= daemons.size();
         for (SimulatedDaemon daemon : daemons) {
@@ -166,8 +166,9 @@
             }
             Lag lag = new Lag(store.lagOf(daemon.version()), now, daemon.name());
             boolean due = store.isStable(STABLE_MILLIS)
-                    && daemon.isUndisturbed()
-                    && (daemon.hasStoreForLong() || (enoughAccess && daemon.hasLinksForLong()));
+                    && daemon.host().isUndisturbed()
+                    && (daemon.host().hasStore()
+                            || (enoughAccess && daemon.host().hasLinks()));
             if (due) {
                 worstLag = worstLag.max(lag);
             }
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/SimulatedDaemon.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/SimulatedDaemon.java
@@ -25,16 +25,10 @@
     /** Time for which a daemon counts as live after its entry was removed. */
     private static final long REMOVAL_GRACE_MILLIS = 5000;
 
-    /** How the store treats a daemon. */
-    enum StoreAccess {
-        SERVED,
-        SILENT,
-        BUSY
-    }
-
     private final PropagationSimulation simulation;
     private final DaemonName name;
     private final FailureDomain domain;
+    private final SimulatedHost host;
     private ChangeSources<DaemonName> sources;
     private ContentVersion content;
     private SimulatedStore.Content applied;
@@ -47,32 +41,12 @@
     private long feedFailsAt;
     private int life;
     private boolean running;
-    private long frozenUntil;
-
-    /** Set by faults. */
-    StoreAccess access = StoreAccess.SERVED;
-
-    /** Set by faults: no link to any other daemon. */
-    boolean isolated;
-
-    /** Set by faults: some links are cut. */
-    boolean linksDisturbed;
-
-    /** Set by faults: longest additional delay of what the daemon sends, receives and reads. */
-    int slowMillis;
-
-    /** Set by faults: the same under a load that is no fault. */
-    int busyMillis;
-
-    private long disturbedAt;
-    private long noAccessAt;
-    private long noLinksAt;
-    private long stableMillis;
 
     SimulatedDaemon(PropagationSimulation simulation, DaemonName name, FailureDomain domain) {
         this.simulation = simulation;
         this.name = name;
         this.domain = domain;
+        this.host = new SimulatedHost(simulation, domain);
     }
 
     DaemonName name() {
@@ -83,8 +57,12 @@
         return domain;
     }
 
+    SimulatedHost host() {
+        return host;
+    }
+
     boolean isRunning() {
-        return running && !isFrozen();
+        return running && !host.isFrozen();
     }
 
     boolean isConfigured() {
@@ -99,39 +77,6 @@
         return new ContentStatus(content.revision(), content.currentAt(), "a source");
     }
 
-    private boolean isFrozen() {
-        return simulation.now() < frozenUntil;
-    }
-
-    private boolean isServed() {
-        return access == StoreAccess.SERVED && !simulation.cutDomains.contains(domain);
-    }
-
-    /** Records the faults that the daemon has now; what it returns next tells whether it had any for a time. */
-    void observe(long millis) {
-        stableMillis = millis;
-        long now = simulation.now();
-        disturbedAt = !isRunning() || slowMillis > 0 ? now : disturbedAt;
-        noAccessAt = isServed() ? noAccessAt : now;
-        noLinksAt = isolated || linksDisturbed || simulation.cutDomains.contains(domain) ? now : noLinksAt;
-    }
-
-    private boolean isLongAgo(long time) {
-        return simulation.now() - time > stableMillis;
-    }
-
-    boolean isUndisturbed() {
-        return isLongAgo(disturbedAt);
-    }
-
-    boolean hasStoreForLong() {
-        return isUndisturbed() && isLongAgo(noAccessAt);
-    }
-
-    boolean hasLinksForLong() {
-        return isLongAgo(noLinksAt);
-    }
-
     void start() {
         life++;
         running = true;
@@ -169,30 +114,20 @@
         simulation.at(simulation.now() + downMillis, this::start);
     }
 
-    /** Stops the process for a while; it goes on as if nothing had happened. */
-    void freeze(long millis) {
-        frozenUntil = simulation.now() + millis;
-    }
-
     private void inLife(long delay, Runnable action) {
         int current = life;
         simulation.at(simulation.now() + delay, () -> {
             if (life != current) {
                 return;
             }
-            if (isFrozen()) {
-                inLife(frozenUntil - simulation.now(), action);
+            if (host.isFrozen()) {
+                inLife(host.frozenUntil() - simulation.now(), action);
             } else {
                 action.run();
             }
         });
     }
 
-    private long slowness() {
-        int millis = slowMillis + busyMillis;
-        return millis == 0 ? 0 : simulation.random.nextInt(millis);
-    }
-
     private void learn(boolean complete, SimulatedStore.Content delivered, long knownAt) {
         boolean known = content.isKnown();
         if (!content.accept(complete, delivered.revision(), Duration.ofMillis(knownAt))) {
@@ -228,7 +163,7 @@
     }
 
     private void maintainEntry() {
-        if (isServed() && content.isKnown()) {
+        if (host.isServed() && content.isKnown()) {
             simulation.store.renew(name, domain);
         }
         if (content.isKnown()) {
@@ -245,17 +180,19 @@
             return;
         }
         store.count();
-        if (!isServed()) {
+        if (!host.isServed()) {
             long wait = sources.maxStoreWait(content, simulation.time()).toMillis();
-            inLife(access == StoreAccess.BUSY ? 10 : STORE_TIMEOUT_MILLIS + wait, this::onStoreFailure);
+            inLife(
+                    host.access == SimulatedHost.StoreAccess.BUSY ? 10 : STORE_TIMEOUT_MILLIS + wait,
+                    this::onStoreFailure);
         } else if (!content.isKnown() || !store.hasHistorySince(content.revision())) {
             long sentAt = simulation.now();
             SimulatedStore.Content loaded = store.content();
-            inLife(10 + simulation.random.nextInt(50) + slowness(), () -> onStoreResponse(true, loaded, sentAt));
+            inLife(10 + simulation.random.nextInt(50) + host.delay(), () -> onStoreResponse(true, loaded, sentAt));
         } else if (content.revision() < store.content().revision() && !store.isDeaf()) {
             SimulatedStore.Content changed = store.content();
             long sentAt = simulation.now();
-            inLife(4 + simulation.random.nextInt(5) + slowness(), () -> onStoreResponse(false, changed, sentAt));
+            inLife(4 + simulation.random.nextInt(5) + host.delay(), () -> onStoreResponse(false, changed, sentAt));
         } else {
             watch();
         }
@@ -273,7 +210,7 @@
                 onWatchEnded(sentAt);
             }
         });
-        inLife(wait + 4 + slowness(), () -> {
+        inLife(wait + 4 + host.delay(), () -> {
             if (!over[0] && !simulation.store.isDeaf() && simulation.store.hasHistorySince(before.revision())) {
                 over[0] = true;
                 onStoreResponse(false, before, sentAt + wait);
@@ -290,7 +227,7 @@
     private void onWatchEnded(long sentAt) {
         SimulatedStore.Content changed = simulation.store.content();
         boolean complete = !simulation.store.hasHistorySince(content.revision());
-        inLife(slowness(), complete ? this::readStore : () -> onStoreResponse(false, changed, sentAt));
+        inLife(host.delay(), complete ? this::readStore : () -> onStoreResponse(false, changed, sentAt));
     }
 
     private void onStoreFailure() {
@@ -299,7 +236,7 @@
     }
 
     private void onStoreResponse(boolean complete, SimulatedStore.Content response, long knownAt) {
-        if (!isServed()) {
+        if (!host.isServed()) {
             inLife(STORE_TIMEOUT_MILLIS, this::onStoreFailure);
             return;
         }
@@ -316,7 +253,7 @@
             return;
         }
         SimulatedDaemon source = simulation.daemon(selected.get());
-        if (!simulation.reaches(this, source) || !simulation.reaches(source, this) || source.isFrozen()) {
+        if (!simulation.reaches(this, source) || !simulation.reaches(source, this) || source.host.isFrozen()) {
             inLife(CONNECT_TIMEOUT_MILLIS, () -> onFeedFailed(source));
             return;
         }
@@ -396,7 +333,7 @@
         Random random = simulation.random;
         long delay = 3 + (random.nextInt(10) == 0 ? random.nextInt(150) : random.nextInt(20));
         long arrival = Math.max(
-                simulation.now() + delay + slowness() + receiver.slowness(),
+                simulation.now() + delay + host.delay() + receiver.host.delay(),
                 receiver.lastArrival.getOrDefault(this, 0L));
         receiver.lastArrival.put(this, arrival);
         receiver.inLife(arrival - simulation.now(), onArrival);
