Date a watch that ended early from when it was sent

A watch of the store also ends with changes to entries that daemons do not use. Such a response held no changes for them and counted as a watch that had waited to its end, if it was in transit until then, so that the content looked younger than it was by the time in transit.

Only a watch that returns the revision it was sent with counts as one that waited. ChangeInboxTest has the case, which dated the content 1,000 ms too late before.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/ChangeInbox.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/ChangeInbox.java
@@ -90,15 +90,15 @@
     }
 
     /**
-     * Delivers what a watch of the store returned. A watch without changes shows that there were none while it waited;
-     * one that returned changes may have done so at any time since it was sent.
+     * Delivers what a watch of the store returned. A watch that returned the revision it was sent with shows that there
+     * were no changes while it waited; any other one may have ended at any time since it was sent.
      *
      * @param sentAt monotonic time before the watch was sent
      * @param wait how long the store was to wait for changes; it counts whole milliseconds
      */
     synchronized void deliverWatch(StoreChanges changes, Duration sentAt, Duration wait) {
         Duration end = sentAt.plusMillis(wait.toMillis());
-        boolean waited = changes.changes().isEmpty() && end.compareTo(clock.now()) <= 0;
+        boolean waited = changes.revision() == content.revision() && end.compareTo(clock.now()) <= 0;
         deliverFromStore(false, changes, waited ? end : sentAt);
     }
 
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/fleet/ChangeInboxTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/fleet/ChangeInboxTest.java
@@ -103,6 +103,13 @@
             assertThat(inbox.appliedContent().currentAt()).isEqualTo(sentAt);
         }
 
+        /** Guards against a change to an entry that daemons do not use, which ends a watch early. */
+        @Test
+        void withALaterRevisionShowsOnlyWhatWasTheNewestWhenItWasSent() {
+            inbox.deliverWatch(noChanges(8), sentAt, Duration.ofMillis(1000));
+            assertThat(inbox.appliedContent().currentAt()).isEqualTo(sentAt);
+        }
+
         @Test
         void withChangesShowsOnlyWhatWasTheNewestWhenItWasSent() {
             inbox.deliverWatch(changes(8), sentAt, Duration.ofMillis(1000));
