Keep messages of an earlier connection off the next one in the simulation

The trace shows a message of an earlier subscription that arrives after a daemon has left a feed and subscribed to it again, and that is dated from the new subscription. Over sockets these are two connections, and what is on its way over the first never arrives on the second.

The simulation now drops messages of a connection that has ended.

--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/SimulatedDaemon.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/SimulatedDaemon.java
@@ -318,8 +318,9 @@
     private void sendBatch(SimulatedDaemon subscriber) {
         SimulatedStore.Content sent = applied;
         Duration age = simulation.time().minus(content.currentAt());
+        FeedProbes connection = subscriber.probes;
         send(subscriber, () -> {
-            if (subscriber.feed == this) {
+            if (subscriber.feed == this && subscriber.probes == connection) {
                 subscriber.onBatch(this, sent, age, age);
             }
         });
@@ -351,18 +352,19 @@
             onFeedFailed(source);
         } else if (probes.isDue(simulation.time())) {
             long number = probes.next(simulation.time());
-            send(source, () -> source.answerProbe(this, number));
+            FeedProbes connection = probes;
+            send(source, () -> source.answerProbe(this, connection, number));
         }
     }
 
-    private void answerProbe(SimulatedDaemon subscriber, long number) {
+    private void answerProbe(SimulatedDaemon subscriber, FeedProbes connection, long number) {
         if (!content.isKnown()) {
             return;
         }
         SimulatedStore.Content sent = applied;
         Duration age = simulation.time().minus(content.currentAt());
         send(subscriber, () -> {
-            if (subscriber.feed == this && subscriber.probes.onAnswer(number)) {
+            if (subscriber.feed == this && subscriber.probes == connection && connection.onAnswer(number)) {
                 Duration now = simulation.time();
                 subscriber.onBatch(this, sent, age, now.minus(subscriber.probes.knownAt(age, now)));
             }
