Make the seeds of PropagationBoundTest repeatable

The seed cannot be played again: the subscribers of a daemon are in a set whose order depends on the identity of objects, so that the random draws differ from run to run.

The set now keeps the order of subscription.

--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/PropagationBoundTest.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/PropagationBoundTest.java
@@ -5,6 +5,7 @@
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -252,7 +253,7 @@
             private boolean refused;
             private Runnable waiting;
             private long startedAt;
-            private final Set<Daemon> subscribers = new HashSet<>();
+            private final Set<Daemon> subscribers = new LinkedHashSet<>();
             private Daemon current;
             private long feedFailsAt;
 
