Name the faults of the propagation simulation by the usual terms

The simulation called a store whose watches get no response deaf. The words now say what happens, and the age of a batch says what it is for.

--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/PropagationFault.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/PropagationFault.java
@@ -49,15 +49,15 @@
     }),
     HISTORY_DROPPED((simulation, millis) -> simulation.store.dropHistory());
 
-    private final BiConsumer<PropagationSimulation, Long> strike;
+    private final BiConsumer<PropagationSimulation, Long> start;
 
-    PropagationFault(BiConsumer<PropagationSimulation, Long> strike) {
-        this.strike = strike;
+    PropagationFault(BiConsumer<PropagationSimulation, Long> start) {
+        this.start = start;
     }
 
     /** Lets the fault begin now and end after a time, if it is one that lasts. */
-    void strike(PropagationSimulation simulation, long millis) {
-        strike.accept(simulation, millis);
+    void start(PropagationSimulation simulation, long millis) {
+        start.accept(simulation, millis);
     }
 
     private static void refuse(
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/PropagationFaultPairsTest.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/PropagationFaultPairsTest.java
@@ -40,8 +40,8 @@
         PropagationSimulation simulation = new PropagationSimulation(
                 draw.nextLong(), Duration.ofSeconds(large ? 5 : 3), size, 3 + draw.nextInt(2));
         int gap = draw.nextInt(5000);
-        simulation.at(FAULTS_FROM, () -> first.strike(simulation, 4000 + draw.nextInt(6000)));
-        simulation.at(FAULTS_FROM + gap, () -> second.strike(simulation, 4000 + draw.nextInt(6000)));
+        simulation.at(FAULTS_FROM, () -> first.start(simulation, 4000 + draw.nextInt(6000)));
+        simulation.at(FAULTS_FROM + gap, () -> second.start(simulation, 4000 + draw.nextInt(6000)));
         int change = 1000;
         while (change < END) {
             simulation.at(change, simulation.store::configure);
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/SimulatedDaemon.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/SimulatedDaemon.java
@@ -189,7 +189,7 @@
             long sentAt = simulation.now();
             SimulatedStore.Content loaded = store.content();
             inLife(10 + simulation.random.nextInt(50) + host.delay(), () -> onStoreResponse(true, loaded, sentAt));
-        } else if (content.revision() < store.content().revision() && !store.isDeaf()) {
+        } else if (content.revision() < store.content().revision() && !store.watchesHang()) {
             SimulatedStore.Content changed = store.content();
             long sentAt = simulation.now();
             inLife(4 + simulation.random.nextInt(5) + host.delay(), () -> onStoreResponse(false, changed, sentAt));
@@ -211,7 +211,7 @@
             }
         });
         inLife(wait + 4 + host.delay(), () -> {
-            if (!over[0] && !simulation.store.isDeaf() && simulation.store.hasHistorySince(before.revision())) {
+            if (!over[0] && !simulation.store.watchesHang() && simulation.store.hasHistorySince(before.revision())) {
                 over[0] = true;
                 onStoreResponse(false, before, sentAt + wait);
             }
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/SimulatedStore.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/SimulatedStore.java
@@ -17,7 +17,7 @@
     private static final long LEASE_MILLIS = 6000;
 
     /** Time for which watches get no response before the history is dropped, as seen on the platform. */
-    private static final long DEAF_MILLIS = 2000;
+    private static final long HANG_MILLIS = 2000;
 
     private static final long EXPIRY_CHECK_MILLIS = 500;
 
@@ -30,7 +30,7 @@
     private final List<Long> acknowledgedAt = new ArrayList<>();
     private final List<Runnable> watches = new ArrayList<>();
     private Content content = new Content(EraRevision.of(EraRevision.FIRST_ERA, 0), 0, ImmutableMap.of());
-    private boolean deaf;
+    private boolean watchesHang;
     private long historySince;
     private long calls;
     private long unstableAt = Long.MIN_VALUE / 2;
@@ -60,8 +60,8 @@
     }
 
     /** Returns whether watches get no response at the moment. */
-    boolean isDeaf() {
-        return deaf;
+    boolean watchesHang() {
+        return watchesHang;
     }
 
     /** Returns whether the store has had no fault of its own for a time. */
@@ -105,17 +105,17 @@
 
     private void change() {
         content = new Content(content.revision() + 1, acknowledgedAt.size(), ImmutableMap.copyOf(members));
-        if (!deaf) {
+        if (!watchesHang) {
             endWatches();
         }
     }
 
     /** Leaves watches without a response for a while, then drops the history. */
     void dropHistory() {
-        deaf = true;
+        watchesHang = true;
         unstableAt = simulation.now();
-        simulation.at(simulation.now() + DEAF_MILLIS, () -> {
-            deaf = false;
+        simulation.at(simulation.now() + HANG_MILLIS, () -> {
+            watchesHang = false;
             unstableAt = simulation.now();
             historySince = content.revision();
             endWatches();
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FeedReader.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FeedReader.java
@@ -86,7 +86,7 @@
             }
             inbox.onFeedClosed();
         } catch (PeerFeed.ProbesUnsupportedException e) {
-            LOG.infof("[fleet] The daemon at %s does not answer probes; reading its feed without.", source);
+            LOG.infof("[fleet] The daemon at %s does not answer probes; reading its feed without them.", source);
             notProbedUntil.put(source, clock.now().plus(UNSUPPORTED_MEMORY));
             inbox.onFeedClosed();
         } catch (IOException e) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/PeerFeed.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/PeerFeed.java
@@ -30,8 +30,8 @@
      *
      * @param complete whether the changes are the entire content, so that everything else was removed
      * @param knownAt monotonic time at which the changes were certainly the newest ones
-     * @param age time since they were the newest ones as far as this batch shows; not more than the time since {@code
-     *     knownAt}, which may lack the time since the last probe
+     * @param age the age by which the peer is judged: the one that it stated, and for the answer to a probe the time
+     *     since {@code knownAt}
      */
     record Batch(boolean complete, StoreChanges changes, Duration knownAt, Duration age) {}
 
