--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/PropagationFaultPairsTest.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/propagation/PropagationFaultPairsTest.java
@@ -25,6 +25,7 @@
             PropagationFault.FLEET_BUSY,
             PropagationFault.HOSTS_SLOW,
             PropagationFault.MOST_REFUSED,
+            PropagationFault.THIRD_BUSY,
             PropagationFault.THIRD_REFUSED);
 
     private static final int CIRCULATION_SEEDS = 40;
