--- a/review/src/review/Group.java
+++ b/review/src/review/Group.java
@@ -79,6 +79,20 @@
         daemonThread(this::beat, "check-ins").start();
     }
 
+    /** Starts a new replica, to which the log is transferred. */
+    void add(String id, String zone) throws IOException {
+        Backend backend = new Backend(id, zone, false);
+        synchronized (this) {
+            lab.log("%s starts as a new replica", id);
+            backends.put(id, backend);
+            Backend leader = leader();
+            if (leader != null) {
+                backend.receive(leader);
+            }
+        }
+        backend.listen();
+    }
+
     private static Thread daemonThread(Runnable task, String name) {
         Thread thread = new Thread(task, name);
         thread.setDaemon(true);
@@ -338,6 +352,17 @@
             }
         }
 
+        /** Ends the backend as planned. */
+        void leave() {
+            synchronized (Group.this) {
+                if (registered) {
+                    registered = false;
+                    store.remove("servers/" + id);
+                }
+            }
+            crash();
+        }
+
         /** Starts the backend again with its log, as a replica if another one was promoted. */
         void restart() throws IOException {
             synchronized (Group.this) {
