--- a/review/src/review/SyncLoss.java
+++ b/review/src/review/SyncLoss.java
@@ -59,7 +59,7 @@
             }
             lab.sleepUntil(t + 3000);
             group.backend("db-1").crash();
-            lab.sleepUntil(t + 3600);
+            lab.sleepUntil(t + 3750);
             // srv_crash with how = "dark replica" for 3.05 s.
             group.backend("db-2").darken();
             lab.sleepUntil(t + 6500);
@@ -67,7 +67,7 @@
             synchronized (group) {
                 group.backend("db-3").deaf = false;
             }
-            lab.sleepUntil(t + 6650);
+            lab.sleepUntil(t + 6800);
             group.backend("db-2").lighten();
             lab.sleepUntil(t + 10_000);
             group.backend("db-1").restart();
