--- a/review/src/review/ConfigHistory.java
+++ b/review/src/review/ConfigHistory.java
@@ -9,7 +9,7 @@
 public final class ConfigHistory {
 
     private static final int ROUTES = Integer.parseInt(System.getenv().getOrDefault("ROUTES", "3500"));
-    private static final long GAP_MS = Long.parseLong(System.getenv().getOrDefault("GAP", "200"));
+    private static final long GAP_MS = Long.parseLong(System.getenv().getOrDefault("GAP", "150"));
     private static final long CHANGES_MS = 90_000;
 
     private ConfigHistory() {}
