Show that the late order of review case 3 loses acknowledged writes

Two backends are replaced one after the other, and the order that a cut held up arrives after the second replacement.

--- a/review/src/review/StalePromote.java
+++ b/review/src/review/StalePromote.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /** The order of a holder that has ended reaches the platform after the order of its successor. */
 public final class StalePromote {
@@ -36,7 +38,7 @@
             traffic.start(index, "stock", "READ item2", 50, 2000);
         }
         long t = lab.now() + 8000;
-        // Planned work: the primary is replaced. The new backend starts first, then the old one drains.
+        // Planned work: backends are replaced one after the other. The new one starts first, then the old one drains.
         lab.sleepUntil(t - 2000);
         group.add("db-4", "z1");
         lab.sleepUntil(t);
@@ -50,18 +52,26 @@
         // Planned work: the daemons are stopped and started in turn, d1 first.
         lab.sleepUntil(t + 900);
         daemons.get(0).signal("TERM");
-        lab.sleepUntil(t + 8500);
+        lab.sleepUntil(t + 7000);
+        group.add("db-5", "z2");
+        lab.sleepUntil(t + 7600);
+        group.backend("db-2").drain();
+        lab.sleepUntil(t + 11_700);
         lab.log("d1 runs: %s", daemons.get(0).isAlive());
         if (lab.trouble) {
             lab.log("the link is whole again");
             links.get(0).cut(false);
         }
-        lab.sleepUntil(t + 14_000);
+        lab.sleepUntil(t + 18_000);
         traffic.stop();
         lab.recordLogs("[failover]", "[daemon]");
         List<Group.PromoteCall> calls;
+        List<Group.Promotion> promotions;
+        Set<String> kept = new HashSet<>();
         synchronized (group) {
             calls = List.copyOf(group.calls);
+            promotions = List.copyOf(group.promotions);
+            group.leader().log.forEach(commit -> kept.add(commit.value()));
         }
         long highest = 0;
         int status = Lab.HELD;
@@ -73,9 +83,14 @@
             }
             highest = Math.max(highest, call.fence());
         }
-        if (calls.isEmpty()) {
+        if (promotions.isEmpty()) {
             return Lab.CANNOT_RUN;
         }
+        long lastAt = promotions.get(promotions.size() - 1).at();
+        List<String> lost = traffic.acknowledgedValues(lastAt);
+        lost.removeAll(kept);
+        lab.log("writes sent after the last promotion took effect, acknowledged, and not in the log at the end: %d %s",
+                lost.size(), lost);
         return status;
     }
 }
--- a/review/src/review/Traffic.java
+++ b/review/src/review/Traffic.java
@@ -10,7 +10,7 @@
 final class Traffic {
 
     /** A request of a client: when it was sent and how it ended. */
-    record Request(long sentAt, long endedAt, boolean served, String end) {}
+    record Request(String text, long sentAt, long endedAt, boolean served, String end) {}
 
     private static final AtomicInteger NUMBERS = new AtomicInteger();
 
@@ -48,7 +48,7 @@
                 } catch (IOException e) {
                     answer = new Client.Answer(List.of(), "no session");
                 }
-                requests.add(new Request(sentAt, lab.now(), answer.succeeded(), answer.brief()));
+                requests.add(new Request(text.replace("#", number), sentAt, lab.now(), answer.succeeded(), answer.brief()));
                 lab.log("q%s of %s at %s, sent at %.3f: %s", number, database, daemon.name, sentAt / 1000.0, answer.brief());
                 if (!answer.complete()) {
                     next++;
@@ -71,6 +71,17 @@
         }
     }
 
+    /** Returns the values of the acknowledged writes that were sent after a time. */
+    List<String> acknowledgedValues(long after) {
+        List<String> values = new ArrayList<>();
+        for (Request request : requests) {
+            if (request.served() && request.sentAt() > after && request.text().startsWith("WRITE ")) {
+                values.add(request.text().split(" ", 3)[2]);
+            }
+        }
+        return values;
+    }
+
     /** Returns how many requests that were sent in a span were served, and how many there were. */
     int[] served(long from, long to) {
         int[] counts = new int[2];
