--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/CandidatePolicy.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/CandidatePolicy.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 
 import org.lavenderwick.core.model.EndpointName;
+import org.lavenderwick.core.store.FleetStore;
 
 /** The choice of the endpoint to promote, after the promises have been collected and all evidence has expired. */
 interface CandidatePolicy {
@@ -45,6 +46,7 @@
      * @param promises the promises of the endpoints
      * @param reports the present state of the endpoints that respond
      * @param earlierCandidate a candidate that another run recorded, which may still be promoted
+     * @param eligible the endpoints that {@link CandidateEligibility} admits
      * @param refused the candidates whose promotion was refused
      * @param waited time since all evidence has expired
      * @param now the present time
@@ -53,6 +55,7 @@
             PromiseRound promises,
             Map<EndpointName, EndpointReport> reports,
             Optional<EndpointName> earlierCandidate,
+            Set<EndpointName> eligible,
             Set<EndpointName> refused,
             Duration waited,
             Duration now) {
@@ -63,6 +66,13 @@
         }
     }
 
+    /** Returns the policy of a group with the given requirement. */
+    static CandidatePolicy of(FailoverTimings timings, SyncRequirement requirement, FleetStore store) {
+        return requirement.isSynchronous()
+                ? new SyncCandidatePolicy(timings, requirement, store)
+                : new AsyncCandidatePolicy(timings);
+    }
+
     /** Returns what to do in a situation in which no endpoint leads a later term. */
     Decision choose(Situation situation);
 }
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/FailoverLock.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/FailoverLock.java
@@ -64,6 +64,11 @@
                 : Optional.empty();
     }
 
+    /** Releases the lock for another daemon; if the call fails, the lock expires soon. */
+    void release() {
+        store.revokeLease(lease);
+    }
+
     long fencingToken() {
         return fencingToken;
     }
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/FailoverRun.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/FailoverRun.java
@@ -40,9 +40,6 @@
     /** Status polls without a confirmed promotion after which the promotion is requested again. */
     private static final int POLLS_PER_PROMOTION_REQUEST = 20;
 
-    /** Status polls per retry delay while the candidate of a planned replacement catches up. */
-    private static final int CATCH_UP_POLLS_PER_RETRY_DELAY = 5;
-
     private final GroupName group;
     private final Supplier<GroupDirectory> directory;
     private final Map<EndpointName, EndpointEntry> members;
@@ -55,6 +52,7 @@
     private final FailoverLock lock;
     private final SyncRequirements requirements;
     private final SyncPromiseCollector syncPromises;
+    private final CandidateEligibility eligibility;
     private PromiseRound promises;
     private FailoverStep step = FailoverStep.ACQUIRE_LOCK;
     private FailoverOutcome outcome = FailoverOutcome.RUNNING;
@@ -99,6 +97,7 @@
         this.requirements = new SyncRequirements(
                 group, store, directory, timings.retryDelay().multipliedBy(2));
         this.syncPromises = new SyncPromiseCollector(timings);
+        this.eligibility = new CandidateEligibility(timings, terms);
         this.promises = PromiseRound.of(this.members, suspect, endpoints);
     }
 
@@ -124,7 +123,7 @@
 
     /** Returns the endpoints that the failover waits for before it promotes one; empty if it does not wait. */
     public Optional<FailoverWait> awaiting() {
-        return syncPromises.awaiting();
+        return syncPromises.awaiting().or(eligibility::awaiting);
     }
 
     /** Returns the lease under which the failover holds its lock; 0 before it does. */
@@ -209,6 +208,7 @@
     }
 
     private Duration requestPromises(Duration now) {
+        eligibility.onLeasesRevoked(now);
         SyncRequirement before = requirements.latest();
         return requirements.readIfDue(closedRevision, now).fold(this::retry, read -> {
             preparePromises(before, read);
@@ -241,9 +241,8 @@
         return next(FailoverStep.AWAIT_EXPIRY);
     }
 
-    /** Releases the lock for a daemon that may reach the endpoints; if the call fails, the lock expires soon. */
     private Duration handOver() {
-        store.revokeLease(lock.lease());
+        lock.release();
         return finish(FailoverOutcome.HANDED_OVER, "another daemon may reach the endpoints that are awaited");
     }
 
@@ -283,13 +282,12 @@
             // The promises were collected by the rules of another configuration.
             return restartPromises(now);
         }
-        CandidatePolicy policy = current.get().isSynchronous()
-                ? new SyncCandidatePolicy(timings, current.get(), store)
-                : new AsyncCandidatePolicy(timings);
+        CandidatePolicy policy = CandidatePolicy.of(timings, current.get(), store);
         CandidatePolicy.Decision decision = policy.choose(new CandidatePolicy.Situation(
                 promises,
                 reports,
                 Optional.ofNullable(earlierCandidate),
+                eligibility.eligible(promises, reports, now),
                 Set.copyOf(refusedCandidates),
                 now.minus(evidenceExpiredAt),
                 now));
@@ -300,7 +298,7 @@
         }
         return switch (decision.action()) {
             case PROMOTE -> recordCandidate(decision.candidate().orElseThrow(), reports);
-            case POLL -> timings.retryDelay().dividedBy(CATCH_UP_POLLS_PER_RETRY_DELAY);
+            case POLL -> timings.catchUpPollDelay();
             case RETRY -> {
                 refusedCandidates.clear();
                 yield timings.retryDelay();
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/FailoverTimings.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/FailoverTimings.java
@@ -15,6 +15,9 @@
  * @param promiseGracePeriod time to wait for promises of the remaining endpoints if at least one has promised, so that
  *     a slow endpoint with a newer log position is considered as a candidate
  * @param catchUpTimeout longest wait for the candidate of a planned replacement to receive the rest of the log
+ * @param membershipMaxAge how long the members that a daemon knows count for evidence from the endpoints, after the
+ *     term record was last confirmed. An outage of the store that is longer leaves groups without a proven primary; a
+ *     new endpoint can be promoted only after that time, unless the old primary has been demoted.
  */
 public record FailoverTimings(
         Duration evidenceMaxAge,
@@ -24,7 +27,14 @@
         Duration retryDelay,
         Duration promiseTimeout,
         Duration promiseGracePeriod,
-        Duration catchUpTimeout) {
+        Duration catchUpTimeout,
+        Duration membershipMaxAge) {
+
+    /** Status polls per retry delay while the candidate of a planned replacement catches up. */
+    private static final int CATCH_UP_POLLS_PER_RETRY_DELAY = 5;
+
+    /** The share of the maximum age of memberships by which clocks may differ, as a divisor. */
+    private static final int CLOCK_RATE_MARGIN = 20;
 
     /** The values that daemons use. They must be the same in all daemons of a fleet. */
     public static final FailoverTimings DEFAULTS = new FailoverTimings(
@@ -35,7 +45,13 @@
             Duration.ofMillis(150),
             Duration.ofSeconds(4),
             Duration.ofMillis(300),
-            Duration.ofSeconds(1));
+            Duration.ofSeconds(1),
+            Duration.ofSeconds(10));
+
+    /** Returns the delay between two looks at a candidate that is catching up. */
+    Duration catchUpPollDelay() {
+        return retryDelay.dividedBy(CATCH_UP_POLLS_PER_RETRY_DELAY);
+    }
 
     /** Returns the minimum age of a connection for a report received on it to count as evidence. */
     public Duration minConnectionAge() {
@@ -46,4 +62,14 @@
     public Duration evidenceExpiry() {
         return evidenceMaxAge.plus(clockMargin);
     }
+
+    /**
+     * Returns the time after which no daemon relies on the members that it knew before a change of the term record,
+     * counted from the revocation of the leases that could still confirm them.
+     */
+    public Duration membershipExpiry() {
+        return membershipMaxAge
+                .plus(membershipMaxAge.dividedBy(CLOCK_RATE_MARGIN))
+                .plus(evidenceExpiry());
+    }
 }
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/LeaseEvidence.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/LeaseEvidence.java
@@ -4,8 +4,12 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Supplier;
 
+import com.google.common.collect.Comparators;
+import com.google.common.collect.ImmutableMap;
+import org.lavenderwick.core.model.EndpointName;
 import org.lavenderwick.core.model.GroupName;
 import org.lavenderwick.core.store.EraRevision;
 import org.lavenderwick.core.store.StoreWrite;
@@ -32,7 +36,10 @@
     private TermRecord record = TermRecord.EMPTY;
     private long revision;
     private Map<GroupName, GroupTerm> inherited = Map.of();
+    private Map<GroupName, GroupMembership> inheritedMemberships = Map.of();
     private final Map<GroupName, ProvenPrimary> views = new HashMap<>();
+    private Map<GroupName, Set<EndpointName>> recordedMembers = Map.of();
+    private final Map<GroupName, ConfirmedMembers> confirmedMembers = new HashMap<>();
     private long ownRenewedLease;
     private Duration ownRenewalSentAt;
 
@@ -55,6 +62,8 @@
         revision = newRevision;
         if (newRecord.era() == record.era()) {
             record = newRecord;
+            recordedMembers = membersByGroup(newRecord);
+            confirmedMembers.replaceAll(this::withRecordedMembers);
         } else {
             inherit(newRecord);
         }
@@ -68,15 +77,48 @@
         }
         inherit(record);
         record = TermRecord.empty(era);
+        recordedMembers = Map.of();
         revision = StoreWrite.ABSENT;
         views.clear();
         ownRenewalSentAt = null;
     }
 
+    /**
+     * Returns the members that the record names, confirmed when the known ones were. That holds for fewer members: an
+     * endpoint that is no longer a member can be promoted only after it has been one again for long enough.
+     */
+    private ConfirmedMembers withRecordedMembers(GroupName group, ConfirmedMembers known) {
+        Set<EndpointName> members = recordedMembers.get(group);
+        return members == null ? known : new ConfirmedMembers(members, known.confirmedAt());
+    }
+
+    private static Map<GroupName, Set<EndpointName>> membersByGroup(TermRecord record) {
+        ImmutableMap.Builder<GroupName, Set<EndpointName>> members = ImmutableMap.builder();
+        record.memberships().forEach((group, membership) -> {
+            if (!membership.isEmpty()) {
+                members.put(group, membership.all());
+            }
+        });
+        return members.buildOrThrow();
+    }
+
     private void inherit(TermRecord earlier) {
-        Map<GroupName, GroupTerm> merged = new HashMap<>(inherited);
-        earlier.groups().forEach((group, term) -> merged.merge(group, term, (a, b) -> b.isLaterThan(a) ? b : a));
-        inherited = Map.copyOf(merged);
+        Map<GroupName, GroupTerm> terms = new HashMap<>(inherited);
+        Map<GroupName, GroupMembership> memberships = new HashMap<>(inheritedMemberships);
+        earlier.groups().forEach((group, term) -> {
+            GroupTerm known = terms.get(group);
+            if (known == null || term.isLaterThan(known)) {
+                terms.put(group, term);
+                memberships.put(group, earlier.membership(group));
+            }
+        });
+        inherited = Map.copyOf(terms);
+        inheritedMemberships = Map.copyOf(memberships);
+    }
+
+    /** Returns the last known membership of a group from earlier eras; an empty one if none is known. */
+    public synchronized GroupMembership inheritedMembership(GroupName group) {
+        return inheritedMemberships.getOrDefault(group, GroupMembership.EMPTY);
     }
 
     /** Returns the last known term of a group from earlier eras; empty if none is known. */
@@ -147,10 +189,41 @@
             if (term.phase() == TermPhase.OPEN) {
                 ProvenPrimary proven = new ProvenPrimary(term.primary(), term.term(), sentAt);
                 views.merge(group, proven, ProvenPrimary::newer);
+                confirmMembers(group, sentAt);
             }
         });
     }
 
+    private void confirmMembers(GroupName group, Duration sentAt) {
+        Set<EndpointName> members = recordedMembers.get(group);
+        if (members != null) {
+            ConfirmedMembers known = confirmedMembers.get(group);
+            Duration confirmedAt = known == null ? sentAt : Comparators.max(sentAt, known.confirmedAt());
+            confirmedMembers.put(group, new ConfirmedMembers(members, confirmedAt));
+        }
+    }
+
+    /**
+     * Returns the members of each group that this daemon knows, regardless of the age of their confirmation. They
+     * remain known in a later era of the store and while a failover is under way.
+     */
+    public synchronized Map<GroupName, ConfirmedMembers> confirmedMembers() {
+        return Map.copyOf(confirmedMembers);
+    }
+
+    /**
+     * A record with its revision.
+     *
+     * @param record the current record; an empty one if there is none yet in the present era
+     * @param revision its revision in the store, which may be from an earlier era; 0 if there is none yet
+     */
+    public record Installed(TermRecord record, long revision) {}
+
+    /** Returns the current record with its revision. */
+    public synchronized Installed installed() {
+        return new Installed(record, revision);
+    }
+
     /** Returns the current record; an empty one if there is none yet in the present era. */
     public synchronized TermRecord record() {
         return record;
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/PromiseRound.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/PromiseRound.java
@@ -196,16 +196,20 @@
      * or the endpoint still has its promise, which it forgets when it restarts.
      */
     boolean mayPromote(EndpointName candidate, Map<EndpointName, EndpointReport> reports) {
-        boolean demoted = oldPrimary
-                .filter(promises::containsKey)
-                .map(reports::get)
-                .filter(report -> report.role() == EndpointRole.REPLICA)
-                .isPresent();
+        boolean demoted = isOldPrimaryReplica(reports);
         EndpointReport report = reports.get(candidate);
         boolean hasPromise = report != null && report.promisedTerm() >= promisedTerm;
         return newestTerm(reports) < promisedTerm && (demoted || hasPromise);
     }
 
+    /** Returns whether the old primary has been demoted and reports to be a replica. */
+    boolean isOldPrimaryReplica(Map<EndpointName, EndpointReport> reports) {
+        return oldPrimary
+                .filter(promises::containsKey)
+                .filter(name -> isReplica(name, reports))
+                .isPresent();
+    }
+
     boolean isOldPrimary(EndpointName name) {
         return oldPrimary.equals(Optional.of(name));
     }
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/SyncCandidatePolicy.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/SyncCandidatePolicy.java
@@ -52,6 +52,8 @@
             complete.addAll(newest.get());
         }
         complete.removeIf(name -> !promises.mayPromote(name, reports));
+        boolean awaitsEligibility = !complete.isEmpty();
+        complete.retainAll(situation.eligible());
         Optional<EndpointName> inherited = situation.inheritedCandidate();
         if (inherited.isPresent() && !complete.contains(inherited.get()) && mayWait) {
             return Decision.without(
@@ -68,7 +70,7 @@
                 .max(preference)
                 .map(Decision::promote)
                 .orElseGet(() -> Decision.without(
-                        complete.isEmpty() ? Action.RESTART : Action.RETRY,
+                        complete.isEmpty() && !awaitsEligibility ? Action.RESTART : Action.RETRY,
                         "no endpoint that can be promoted is known to have every acknowledged commit"));
     }
 
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/SyncPromiseCollector.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/SyncPromiseCollector.java
@@ -70,7 +70,7 @@
                     .orElse(now));
         }
         if (graceOver) {
-            awaiting = Optional.of(FailoverWait.of(awaiting, requirement, promised, now));
+            awaiting = Optional.of(FailoverWait.forCommits(awaiting, requirement, promised, now));
         }
         return Optional.empty();
     }
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/TermRecordCodec.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/TermRecordCodec.java
@@ -1,10 +1,15 @@
 package org.lavenderwick.core.failover;
 
+import java.net.URLDecoder;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import com.google.common.base.Joiner;
 import com.google.common.base.Splitter;
@@ -19,12 +24,19 @@
  * Text format of the term record: one line with the ID of the lease followed by the IDs of the leases to revoke, then
  * one line with the era, and one line for each group with its name, primary, term, phase and fencing token. The line
  * with the era is missing in the first one: daemons of earlier versions cannot read it.
+ *
+ * <p>The membership of a group is on a line of its own, which names the group with a suffix, the members in place of
+ * the primary, each joining one after a plus sign, and a term that is never open. Daemons of earlier versions take it
+ * for a group that no configuration contains, and keep it when they change the record.
  */
 public final class TermRecordCodec {
 
     private static final String LEASE = "lease";
     private static final String ERA_PREFIX = "era ";
     private static final int GROUP_FIELDS = 5;
+    private static final String MEMBERS_SUFFIX = "#members";
+    private static final char MEMBER_SEPARATOR = ',';
+    private static final String JOINING_PREFIX = "+";
 
     private TermRecordCodec() {}
 
@@ -39,9 +51,37 @@
                 .forEach((name, term) -> text.append('\n')
                         .append(Joiner.on(' ')
                                 .join(name, term.primary(), term.term(), term.phase(), term.fencingToken())));
+        record.memberships().forEach((name, membership) -> {
+            if (!membership.isEmpty()) {
+                text.append('\n')
+                        .append(Joiner.on(' ')
+                                .join(name + MEMBERS_SUFFIX, encode(membership), 0, TermPhase.CLOSING, 0));
+            }
+        });
         return text.toString();
     }
 
+    private static String encode(GroupMembership membership) {
+        Stream<String> established = membership.established().stream().sorted().map(TermRecordCodec::escape);
+        Stream<String> joining = membership.joining().stream().sorted().map(name -> JOINING_PREFIX + escape(name));
+        return Stream.concat(established, joining).collect(Collectors.joining(String.valueOf(MEMBER_SEPARATOR)));
+    }
+
+    private static String escape(EndpointName name) {
+        return URLEncoder.encode(name.value(), StandardCharsets.UTF_8);
+    }
+
+    private static GroupMembership decodeMembership(String text) {
+        Set<EndpointName> established = new HashSet<>();
+        Set<EndpointName> joining = new HashSet<>();
+        for (String member : Splitter.on(MEMBER_SEPARATOR).split(text)) {
+            boolean isJoining = member.startsWith(JOINING_PREFIX);
+            String name = isJoining ? member.substring(JOINING_PREFIX.length()) : member;
+            (isJoining ? joining : established).add(EndpointName.of(URLDecoder.decode(name, StandardCharsets.UTF_8)));
+        }
+        return new GroupMembership(established, joining);
+    }
+
     /** Parses the text form of a record. Fails with {@code MALFORMED_REQUEST} if the text is invalid. */
     public static Either<Failure, TermRecord> decode(String text) {
         try {
@@ -51,6 +91,7 @@
                 return malformed();
             }
             Map<GroupName, GroupTerm> groups = new HashMap<>();
+            Map<GroupName, GroupMembership> memberships = new HashMap<>();
             long era = EraRevision.FIRST_ERA;
             for (String line : lines.subList(1, lines.size())) {
                 if (line.startsWith(ERA_PREFIX)) {
@@ -61,6 +102,11 @@
                 if (fields.size() != GROUP_FIELDS) {
                     return malformed();
                 }
+                if (fields.get(0).endsWith(MEMBERS_SUFFIX)) {
+                    String name = fields.get(0).substring(0, fields.get(0).length() - MEMBERS_SUFFIX.length());
+                    memberships.put(GroupName.of(name), decodeMembership(fields.get(1)));
+                    continue;
+                }
                 GroupTerm term = new GroupTerm(
                         EndpointName.of(fields.get(1)),
                         Long.parseLong(fields.get(2)),
@@ -70,7 +116,7 @@
             }
             Set<Long> toRevoke = new HashSet<>();
             head.subList(2, head.size()).forEach(lease -> toRevoke.add(Long.parseLong(lease)));
-            return Either.right(new TermRecord(era, Long.parseLong(head.get(1)), toRevoke, groups));
+            return Either.right(new TermRecord(era, Long.parseLong(head.get(1)), toRevoke, groups, memberships));
         } catch (IllegalArgumentException e) {
             return malformed();
         }
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/TermRecordEditor.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/TermRecordEditor.java
@@ -35,6 +35,11 @@
         return stored.revision();
     }
 
+    /** Returns the membership of the group in the record that was read or written last. */
+    GroupMembership membership() {
+        return stored.record().membership(group);
+    }
+
     /** Reads the term of the group; empty if the record is not from the era of the fencing token. */
     Either<Failure, Optional<GroupTerm>> read() {
         return records.read().peek(read -> stored = read).map(read -> read.group(group, fencingToken));
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/UnanimousEvidence.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/UnanimousEvidence.java
@@ -14,6 +14,10 @@
  *
  * <p>The reports of a majority would not prove this, because the members that are not promoted forget their promise
  * when another member is.
+ *
+ * <p>An endpoint that is promoted must be among the members whose reports count. A daemon counts the members of the
+ * term record, and those only for {@link FailoverTimings#membershipMaxAge} after the record was last confirmed. A
+ * failover promotes no other endpoint before that time is over everywhere; see {@link CandidateEligibility}.
  */
 public final class UnanimousEvidence {
 
@@ -28,8 +32,20 @@
     private UnanimousEvidence() {}
 
     /**
-     * Returns the primary that the reports prove; empty if a report is missing, no member leads or the members
-     * disagree.
+     * Returns the primary that the reports of the confirmed members prove; empty if a report is missing, no member
+     * leads, the members disagree, or the members were last confirmed too long before a report was requested.
+     *
+     * @param reports the newest report of each endpoint that responded
+     */
+    public static Optional<ProvenPrimary> evaluate(
+            ConfirmedMembers confirmed, FailoverTimings timings, Map<EndpointName, TimedReport> reports) {
+        return evaluate(confirmed.members(), reports)
+                .filter(proven -> proven.provenAt().compareTo(confirmed.validUntil(timings)) <= 0);
+    }
+
+    /**
+     * Returns the primary that the reports prove, provided that the given members are all that may be promoted; empty
+     * if a report is missing, no member leads or the members disagree.
      *
      * @param members all endpoints of the group
      * @param reports the newest report of each endpoint that responded
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SimulatedDaemon.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SimulatedDaemon.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -9,79 +10,115 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
 
-import org.lavenderwick.core.catalog.EndpointEntry;
+import io.vavr.control.Either;
 import org.lavenderwick.core.error.ErrorKind;
+import org.lavenderwick.core.error.Failure;
 import org.lavenderwick.core.failover.UnanimousEvidence.TimedReport;
 import org.lavenderwick.core.model.EndpointName;
 import org.lavenderwick.core.store.EraRevision;
 import org.lavenderwick.core.store.StoreEntry;
 import org.lavenderwick.core.store.StoreWrite;
+import org.lavenderwick.core.time.Suspensions;
 
 /** A simulated daemon that gathers evidence, writes to the primary that it proves, and starts failovers at random. */
 final class SimulatedDaemon {
 
     private static final int REPLICATION_POLLS = 10;
 
-    /**
-     * The safeguards of synchronous replication.
-     *
-     * @param remembersReplicas whether the replicas that may hold acknowledged commits are kept in the store
-     * @param distinguishesRestarts whether an endpoint that restarted counts as another one
-     */
-    record SyncGuards(boolean remembersReplicas, boolean distinguishesRestarts) {}
-
     private final Simulation simulation;
     private final RandomGenerator random;
     private final SimulatedStore store;
     private final SimulatedGroup group;
-    private final FailoverSafetyTest.Safeguards safeguards;
+    private final SimulatedNetwork network;
+    private final SimulatedLinks links;
+    private final int domain;
+    private final Safeguards safeguards;
     private final LeaseEvidence evidence = LeaseEvidence.create();
+    private final SimulatedDirectory directory = new SimulatedDirectory();
     private final Map<EndpointName, TimedReport> reports = new HashMap<>();
     private final Map<EndpointName, TimedReport> newestReports = new HashMap<>();
     private boolean storeReachable = true;
+    private boolean missingChanges;
     private long totalSuspendedMillis;
     private long suspendedUntil;
+    private Duration suspendedFor = Duration.ZERO;
     private Duration evidenceDiscardedAt = Duration.ofSeconds(-1);
     private Duration missingSince;
     private long missingInEra;
     private FailoverRun run;
     private String violation = "";
-    private SyncGuards syncGuards;
-    private GroupDirectory directory = new GroupDirectory(Map.of(), Set.of(), Map.of(), 0, -1);
-    private final SyncMembershipTracker tracker = SyncMembershipTracker.create();
-    private List<SimulatedDaemon> peers = List.of();
+    private boolean stopped;
+    private int writesWithoutStore;
+    private boolean distinguishesRestarts = true;
+    private final Suspensions suspensions = Suspensions.create();
+    private final GroupMembershipTracker memberships;
+    private List<SimulatedDaemon> fleet = List.of();
 
     SimulatedDaemon(
             Simulation simulation,
             RandomGenerator random,
             SimulatedStore store,
             SimulatedGroup group,
-            FailoverSafetyTest.Safeguards safeguards) {
+            SimulatedNetwork network,
+            int domain,
+            Safeguards safeguards) {
         this.simulation = simulation;
         this.random = random;
         this.store = store;
         this.group = group;
+        this.network = network;
+        this.domain = domain;
+        this.links = new SimulatedLinks(group, network, domain);
         this.safeguards = safeguards;
+        this.memberships = GroupMembershipTracker.create(SimulatedGroup.NAME, safeguards.membershipTimings());
     }
 
     String violation() {
         return violation;
     }
 
-    /** Sets the daemons that confirm renewals to this one. */
-    void setPeers(List<SimulatedDaemon> daemons) {
-        peers = List.copyOf(daemons);
+    /** Sets the running daemons; the list changes when one is replaced. */
+    void join(List<SimulatedDaemon> daemons) {
+        fleet = daemons;
+    }
+
+    /** Ends the process. */
+    void stop() {
+        stopped = true;
+    }
+
+    /** Returns the number of writes sent to a primary while this daemon did not reach the store. */
+    int writesWithoutStore() {
+        return writesWithoutStore;
+    }
+
+    private boolean reachesStore() {
+        return storeReachable && network.reachesStore(domain);
+    }
+
+    /** Returns another running daemon that this one reaches; empty if there is none. */
+    private Optional<SimulatedDaemon> peer() {
+        List<SimulatedDaemon> reachable = fleet.stream()
+                .filter(other -> other != this && network.connects(domain, other.domain))
+                .toList();
+        return reachable.isEmpty() ? Optional.empty() : Optional.of(reachable.get(random.nextInt(reachable.size())));
     }
 
     void setStoreReachable(boolean reachable) {
         storeReachable = reachable;
     }
 
+    /** Sets whether changes of the store do not arrive, although its calls succeed. */
+    void setMissingChanges(boolean missing) {
+        missingChanges = missing;
+    }
+
     /** Suspends the daemon together with its monotonic clock. */
     void suspend(long millis) {
         if (simulation.now() >= suspendedUntil) {
             suspendedUntil = simulation.now() + millis;
             totalSuspendedMillis += millis;
+            suspendedFor = Duration.ofMillis(millis);
         }
     }
 
@@ -91,6 +128,9 @@
 
     /** Runs an action now or, if the daemon is suspended, once it resumes. */
     private void whenRunning(Runnable action) {
+        if (stopped) {
+            return;
+        }
         long left = suspendedUntil - simulation.now();
         if (left > 0) {
             simulation.schedule(left, () -> whenRunning(action));
@@ -98,8 +138,9 @@
         }
         if (suspendedUntil > 0) {
             suspendedUntil = 0;
-            if (safeguards.detectsSuspension()) {
+            if (safeguards.has(Safeguard.SUSPENSION_DETECTION)) {
                 evidenceDiscardedAt = clock();
+                suspensions.record(clock(), suspendedFor);
                 reports.clear();
                 newestReports.clear();
             }
@@ -113,6 +154,9 @@
         every(400, this::requestReports);
         every(70, this::write);
         every(250, this::advance);
+        readDirectory();
+        every(200, this::readDirectory);
+        every(200, this::maintainMembership);
     }
 
     private void every(long millis, Runnable action) {
@@ -125,10 +169,10 @@
     }
 
     private void renew() {
-        if (!storeReachable) {
+        if (!reachesStore()) {
             return;
         }
-        if (random.nextInt(3) == 0) {
+        if (!missingChanges && random.nextInt(3) == 0) {
             store.read(TermRecord.KEY).peek(entry -> entry.ifPresent(this::install));
         }
         if (evidence.record().group(SimulatedGroup.NAME).isEmpty()) {
@@ -147,7 +191,7 @@
                         if (response.isRight()) {
                             evidence.onRenewed(
                                     leaseId,
-                                    safeguards.bindsToEra()
+                                    safeguards.has(Safeguard.ERA)
                                             ? response.get()
                                             : evidence.record().era(),
                                     sentAt);
@@ -165,26 +209,28 @@
 
     /** Asks another daemon, which may be suspended before or after it has made its statement. */
     private void requestConfirmation() {
-        SimulatedDaemon peer = peers.get(random.nextInt(peers.size()));
+        Optional<SimulatedDaemon> peer = peer();
         Duration requestedAt = clock();
-        simulation.schedule(
+        peer.ifPresent(other -> simulation.schedule(
                 messageMillis(),
-                () -> peer.whenRunning(() -> peer.evidence
-                        .confirmation(peer::clock, () -> peer.evidenceDiscardedAt)
+                () -> other.whenRunning(() -> other.evidence
+                        .confirmation(other::clock, () -> other.evidenceDiscardedAt)
                         .ifPresent(confirmation -> simulation.schedule(
                                 messageMillis(),
                                 () -> whenRunning(() -> evidence.onConfirmed(
-                                        confirmation, safeguards.datesConfirmations() ? requestedAt : clock()))))));
+                                        confirmation,
+                                        safeguards.has(Safeguard.CONFIRMATION_DATE) ? requestedAt : clock())))))));
     }
 
     private void install(StoreEntry entry) {
         TermRecordCodec.decode(entry.value())
-                .map(record -> safeguards.bindsToEra() ? record : inEra(record, EraRevision.era(entry.revision())))
+                .map(record ->
+                        safeguards.has(Safeguard.ERA) ? record : inEra(record, EraRevision.era(entry.revision())))
                 .peek(record -> evidence.install(record, entry.revision()));
     }
 
     private static TermRecord inEra(TermRecord record, long era) {
-        return new TermRecord(era, record.lease(), record.leasesToRevoke(), record.groups());
+        return new TermRecord(era, record.lease(), record.leasesToRevoke(), record.groups(), record.memberships());
     }
 
     /** Adds the group to the record, in the first era with its first primary. */
@@ -214,8 +260,12 @@
                     .peek(leaseId -> store.write(new StoreWrite(
                             TermRecord.KEY,
                             evidence.revision(),
-                            TermRecordCodec.encode(
-                                    record.replacingExpiredLease(leaseId).with(SimulatedGroup.NAME, term.get())),
+                            TermRecordCodec.encode(record.replacingExpiredLease(leaseId)
+                                    .adding(
+                                            SimulatedGroup.NAME,
+                                            term.get(),
+                                            evidence.inheritedMembership(SimulatedGroup.NAME),
+                                            directory.members())),
                             StoreWrite.NO_LEASE)));
         }
     }
@@ -233,18 +283,20 @@
     }
 
     private void requestReports() {
-        for (EndpointEntry member : group.members()) {
+        for (EndpointName name : directory.members()) {
             Duration sentAt = clock();
             simulation.schedule(random.nextLong(150), () -> {
-                boolean oldEnough = simulation.now() - group.startedAt(member.name())
+                boolean oldEnough = simulation.now() - group.startedAt(name)
                         > FailoverTimings.DEFAULTS.minConnectionAge().toMillis();
-                var report = group.report(member.name()).map(this::withRespectedPromises);
+                var report = links.reaches(name)
+                        ? group.report(name).map(this::withRespectedPromises)
+                        : Either.<Failure, EndpointReport>left(Failure.of(ErrorKind.NO_ELIGIBLE_ENDPOINT, "cut off"));
                 report.peek(value -> simulation.schedule(
                         random.nextLong(150),
                         () -> whenRunning(() -> {
-                            newestReports.put(member.name(), new TimedReport(sentAt, value));
-                            if (oldEnough || !safeguards.checksConnectionAge()) {
-                                reports.put(member.name(), new TimedReport(sentAt, value));
+                            newestReports.put(name, new TimedReport(sentAt, value));
+                            if (oldEnough || !safeguards.has(Safeguard.CONNECTION_AGE)) {
+                                reports.put(name, new TimedReport(sentAt, value));
                             }
                         })));
             });
@@ -252,26 +304,41 @@
     }
 
     private EndpointReport withRespectedPromises(EndpointReport report) {
-        return safeguards.respectsPromises()
+        return safeguards.has(Safeguard.PROMISES)
                 ? report
                 : new EndpointReport(report.role(), report.term(), report.received(), 0);
     }
 
+    /** Returns the primary that the reports of the members prove, for serving. */
+    private Optional<ProvenPrimary> provenByMembers() {
+        if (!safeguards.has(Safeguard.RECORDED_MEMBERS)) {
+            return UnanimousEvidence.evaluate(directory.members(), reports);
+        }
+        return Optional.ofNullable(evidence.confirmedMembers().get(SimulatedGroup.NAME))
+                .flatMap(known -> UnanimousEvidence.evaluate(
+                        known.olderBy(suspensions.since(known.confirmedAt())), safeguards.evidenceTimings(), reports));
+    }
+
+    /** Returns the members and the registered endpoints, which must confirm a primary in a new era of the store. */
+    private Set<EndpointName> knownEndpoints() {
+        Set<EndpointName> known = new HashSet<>(directory.members());
+        Optional.ofNullable(evidence.confirmedMembers().get(SimulatedGroup.NAME))
+                .ifPresent(confirmed -> known.addAll(confirmed.members()));
+        known.addAll(evidence.inheritedMembership(SimulatedGroup.NAME).all());
+        return known;
+    }
+
     private Optional<ProvenPrimary> provenByEndpoints() {
-        List<EndpointName> members =
-                group.members().stream().map(EndpointEntry::name).toList();
-        return UnanimousEvidence.evaluate(members, reports);
+        return UnanimousEvidence.evaluate(knownEndpoints(), reports);
     }
 
     private Optional<ProvenPrimary> reportedByEndpoints() {
-        List<EndpointName> members =
-                group.members().stream().map(EndpointEntry::name).toList();
-        return UnanimousEvidence.evaluate(members, newestReports);
+        return UnanimousEvidence.evaluate(knownEndpoints(), newestReports);
     }
 
     private Optional<ProvenPrimary> provenPrimary() {
         Optional<ProvenPrimary> fromLease = evidence.view(SimulatedGroup.NAME);
-        Optional<ProvenPrimary> fromEndpoints = provenByEndpoints();
+        Optional<ProvenPrimary> fromEndpoints = provenByMembers();
         return Stream.concat(fromLease.stream(), fromEndpoints.stream())
                 .filter(found -> found.provenAt().compareTo(evidenceDiscardedAt) > 0)
                 .reduce(ProvenPrimary::newer)
@@ -288,6 +355,10 @@
             return;
         }
         EndpointName target = provenWhenSent.get().primary();
+        if (!links.reaches(target)) {
+            return;
+        }
+        writesWithoutStore += reachesStore() ? 0 : 1;
         if (!group.leader().equals(target)) {
             violation = "a read would be sent to the replaced primary " + target + " at " + simulation.now() + " ms";
         }
@@ -303,11 +374,11 @@
     }
 
     /** Runs an action once enough replicas have received a commit; gives up after a while. */
-    private void whenReplicated(SimulatedGroup.Commit commit, Runnable action) {
+    private void whenReplicated(SimulatedEndpoint.Commit commit, Runnable action) {
         whenReplicated(commit, action, REPLICATION_POLLS);
     }
 
-    private void whenReplicated(SimulatedGroup.Commit commit, Runnable action, int polls) {
+    private void whenReplicated(SimulatedEndpoint.Commit commit, Runnable action, int polls) {
         if (group.isReplicated(commit)) {
             action.run();
         } else if (polls > 0) {
@@ -315,9 +386,10 @@
         }
     }
 
-    private void acknowledge(ProvenPrimary provenWhenSent, SimulatedGroup.Commit commit, boolean replacedBeforeCommit) {
+    private void acknowledge(
+            ProvenPrimary provenWhenSent, SimulatedEndpoint.Commit commit, boolean replacedBeforeCommit) {
         EndpointName target = provenWhenSent.primary();
-        boolean proven = !safeguards.rechecksEvidence()
+        boolean proven = !safeguards.has(Safeguard.EVIDENCE_RECHECK)
                 || provenPrimary().filter(provenWhenSent::isSameTerm).isPresent();
         if (proven) {
             group.acknowledged(commit);
@@ -328,76 +400,76 @@
         }
     }
 
-    /** Makes this daemon learn of the endpoints from the store and maintain the synchronous replicas. */
-    void useDirectory(SyncGuards guards) {
-        syncGuards = guards;
-        readDirectory();
-        every(200, this::readDirectory);
-        every(150, this::maintainMembership);
+    /** Makes this daemon maintain the synchronous replicas. */
+    void maintainSyncReplicas(SimulatedSyncReplicas.Guards guards) {
+        distinguishesRestarts = guards.distinguishesRestarts();
+        SimulatedSyncReplicas replicas = new SimulatedSyncReplicas(simulation, random, store, links, guards);
+        every(150, () -> {
+            if (reachesStore()) {
+                replicas.maintain(evidence, directory(), clock(), this::whenRunning);
+            }
+        });
     }
 
+    /** Reads the content of the store or, without access to it, that of another daemon. */
     private void readDirectory() {
-        if (!storeReachable) {
+        if (missingChanges) {
+            return;
+        }
+        if (!reachesStore()) {
+            peer().ifPresent(other -> {
+                directory.followFeed(other.directory, clock());
+                evidence.install(other.evidence.record(), other.evidence.revision());
+            });
+            directory.removeExpired(clock());
             return;
         }
-        Map<EndpointName, EndpointEntry> members = new HashMap<>();
-        Map<EndpointName, Long> startTimes = new HashMap<>();
-        store.endpoints().forEach((name, registered) -> {
-            members.put(name, registered.entry());
-            startTimes.put(name, registered.version().startedAt());
-        });
         int syncReplicas = store.catalog()
                 .map(catalog -> catalog.syncReplicas().getOrDefault(SimulatedGroup.NAME, 0))
                 .orElse(0);
-        GroupDirectory read = new GroupDirectory(members, Set.of(), startTimes, syncReplicas, store.revision());
-        simulation.schedule(random.nextLong(300), () -> whenRunning(() -> directory = read));
+        var content = store.endpoints();
+        long revision = store.revision();
+        simulation.schedule(
+                random.nextLong(300),
+                () -> whenRunning(() -> directory.replaceAll(content, syncReplicas, revision, clock())));
     }
 
     private GroupDirectory directory() {
-        if (syncGuards == null) {
-            Map<EndpointName, EndpointEntry> members = new HashMap<>();
-            group.members().forEach(entry -> members.put(entry.name(), entry));
-            return new GroupDirectory(members, Set.of(), Map.of(), 0, Long.MAX_VALUE);
-        }
-        return syncGuards.distinguishesRestarts()
-                ? directory
-                : new GroupDirectory(
-                        directory.members(), Set.of(), Map.of(), directory.syncReplicas(), directory.revision());
+        return directory.toGroupDirectory(distinguishesRestarts);
     }
 
+    /** Maintains the members of the group in the term record. */
     private void maintainMembership() {
-        Optional<GroupTerm> term = evidence.record().group(SimulatedGroup.NAME);
-        if (!storeReachable
-                || !syncGuards.remembersReplicas()
-                || directory().syncReplicas() == 0
-                || term.filter(found -> found.phase() == TermPhase.OPEN).isEmpty()) {
+        TermRecord record = evidence.record();
+        if (!reachesStore() || record.group(SimulatedGroup.NAME).isEmpty()) {
             return;
         }
-        String key = SyncMembershipCodec.key(SimulatedGroup.NAME);
-        store.read(key).peek(entry -> {
-            SyncMembershipTracker.Actions actions = tracker.next(
-                    new SyncMembershipTracker.Situation(
-                            entry.flatMap(found ->
-                                    SyncMembershipCodec.decode(found.value()).toJavaOptional()),
-                            term.get(),
-                            directory(),
-                            evidence.record().era(),
-                            evidence.view(SimulatedGroup.NAME)),
-                    Duration.ZERO,
-                    clock());
-            actions.write()
-                    .ifPresent(membership -> store.write(new StoreWrite(
-                            key,
-                            entry.map(StoreEntry::revision).orElse(StoreWrite.ABSENT),
-                            SyncMembershipCodec.encode(membership),
-                            StoreWrite.NO_LEASE)));
-            actions.check().ifPresent(check -> {
-                Optional<ReplicationCheck.Result> result = check.run(group);
-                simulation.schedule(random.nextLong(300), () -> whenRunning(() -> tracker.onChecked(result)));
-            });
+        memberships.next(record, directory(), Duration.ZERO, clock()).ifPresent(change -> {
+            if (change.revokesLeases() && !record.leasesToRevoke().stream().allMatch(this::revoke)) {
+                return;
+            }
+            TermRecord changed = (change.revokesLeases()
+                            ? record.withoutRevokedLeases(record.leasesToRevoke())
+                            : record)
+                    .withMembership(SimulatedGroup.NAME, change.membership());
+            if (!change.needsNewLease() || !safeguards.has(Safeguard.LEASE_OF_JOINING)) {
+                write(changed);
+                return;
+            }
+            store.grantLease(TermLease.TIME_TO_LIVE).peek(lease -> write(changed.withLease(lease)));
         });
     }
 
+    private boolean revoke(long lease) {
+        return store.revokeLease(lease).isRight();
+    }
+
+    private void write(TermRecord changed) {
+        long revision = evidence.revision();
+        store.write(new StoreWrite(TermRecord.KEY, revision, TermRecordCodec.encode(changed), StoreWrite.NO_LEASE))
+                .peek(written -> evidence.install(changed, written));
+    }
+
     private void advance() {
         if (run == null || run.outcome() != FailoverOutcome.RUNNING) {
             run = null;
@@ -408,12 +480,12 @@
                         this::directory,
                         term.get().primary(),
                         store,
-                        group,
-                        group,
-                        safeguards.timings());
+                        links,
+                        links,
+                        safeguards.failoverTimings());
             }
         }
-        if (run != null && storeReachable) {
+        if (run != null && reachesStore()) {
             run.advance(clock());
         }
     }
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SimulatedGroup.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SimulatedGroup.java
@@ -19,7 +19,6 @@
 import org.lavenderwick.core.model.EndpointName;
 import org.lavenderwick.core.model.FailureDomain;
 import org.lavenderwick.core.model.GroupName;
-import org.lavenderwick.core.model.LogPoint;
 import org.lavenderwick.core.store.StoreChange;
 
 /** A simulated group of endpoints, together with the platform service that promotes them. */
@@ -27,36 +26,19 @@
 
     static final GroupName NAME = GroupName.of("db");
 
+    /** Number of failure domains, each with one of the first endpoints. */
+    static final int DOMAINS = 3;
+
     /** Time after which the store removes the registration of an endpoint that writes it no more. */
     private static final long REGISTRATION_EXPIRY_MILLIS = 3600;
 
-    /** The state of one endpoint. */
-    private static final class Endpoint {
-        private boolean primary;
-        private long term = 1;
-        private long promisedTerm;
-        private boolean crashed;
-        private long startedAt;
-        private boolean isolated;
-        private boolean disconnected;
-        private boolean storeCut;
-        private boolean draining;
-        private List<Commit> log = new ArrayList<>();
-    }
-
-    /** A committed write, with the endpoints that have received it from the primary. */
-    static final class Commit {
-        private final long term;
-        private final Set<EndpointName> receivers = new HashSet<>();
-
-        private Commit(long term) {
-            this.term = term;
-        }
-    }
+    /** Time between two attempts of separated endpoints to reach each other. */
+    private static final long RECONNECTION_MILLIS = 500;
 
     private final Simulation simulation;
     private final RandomGenerator random;
-    private final Map<EndpointName, Endpoint> endpoints = new HashMap<>();
+    private final SimulatedNetwork network;
+    private final Map<EndpointName, SimulatedEndpoint> endpoints = new HashMap<>();
     private final List<EndpointEntry> members = new ArrayList<>();
     private EndpointName leader;
     private long newestTerm = 1;
@@ -64,15 +46,17 @@
     private int syncReplicas;
     private double refusalRate;
     private Optional<SimulatedStore> directory = Optional.empty();
-    private final List<Commit> acknowledged = new ArrayList<>();
+    private boolean ordersEndWithProcess;
+    private final List<SimulatedEndpoint.Commit> acknowledged = new ArrayList<>();
     private String lostCommits = "";
 
-    SimulatedGroup(Simulation simulation, RandomGenerator random) {
+    SimulatedGroup(Simulation simulation, RandomGenerator random, SimulatedNetwork network) {
         this.simulation = simulation;
         this.random = random;
-        for (int index = 1; index <= 3; index++) {
+        this.network = network;
+        for (int index = 1; index <= DOMAINS; index++) {
             EndpointName name = EndpointName.of("e" + index);
-            Endpoint endpoint = new Endpoint();
+            SimulatedEndpoint endpoint = new SimulatedEndpoint(index - 1);
             endpoint.primary = index == 1;
             endpoint.startedAt = -1_000_000;
             endpoints.put(name, endpoint);
@@ -98,6 +82,11 @@
         endpoints.keySet().forEach(this::register);
     }
 
+    /** Makes an order to promote end with the process that it was given to. */
+    void endOrdersWithProcess() {
+        ordersEndWithProcess = true;
+    }
+
     /** Sets how many replicas must have received a commit before it is acknowledged. */
     void setSyncReplicas(int number) {
         syncReplicas = number;
@@ -109,8 +98,8 @@
     }
 
     private void register(EndpointName name) {
-        Endpoint endpoint = endpoints.get(name);
-        if (endpoint.crashed || endpoint.storeCut) {
+        SimulatedEndpoint endpoint = endpoints.get(name);
+        if (endpoint.crashed || endpoint.storeCut || !network.reachesStore(endpoint.domain)) {
             return;
         }
         EndpointEntry member = members.stream()
@@ -125,9 +114,9 @@
     }
 
     private void expireRegistration(EndpointName name) {
-        Endpoint endpoint = endpoints.get(name);
+        SimulatedEndpoint endpoint = endpoints.get(name);
         simulation.schedule(REGISTRATION_EXPIRY_MILLIS, () -> {
-            if (endpoint.crashed || endpoint.storeCut) {
+            if (endpoint.crashed || endpoint.storeCut || !network.reachesStore(endpoint.domain)) {
                 directory.ifPresent(store -> store.unregister(name));
             }
         });
@@ -157,13 +146,13 @@
 
     /** Ends an endpoint for good; a new one takes over its log if it was a replica that announced its end. */
     void replace(EndpointName name) {
-        Endpoint old = endpoints.get(name);
+        SimulatedEndpoint old = endpoints.get(name);
         if (old.crashed || members.size() > 5) {
             return;
         }
         old.crashed = true;
         expireRegistration(name);
-        Endpoint added = new Endpoint();
+        SimulatedEndpoint added = new SimulatedEndpoint(members.size() % DOMAINS);
         added.term = old.term;
         added.startedAt = simulation.now();
         if (old.draining && !old.primary) {
@@ -201,7 +190,7 @@
 
     /** Restarts a crashed endpoint without its log, unless it is the primary, which comes back with its log. */
     void restartEmpty(EndpointName name) {
-        Endpoint endpoint = endpoints.get(name);
+        SimulatedEndpoint endpoint = endpoints.get(name);
         if (endpoint.crashed && !name.equals(leader)) {
             endpoint.log = new ArrayList<>();
         }
@@ -209,7 +198,7 @@
     }
 
     void restart(EndpointName name) {
-        Endpoint endpoint = endpoints.get(name);
+        SimulatedEndpoint endpoint = endpoints.get(name);
         if (endpoint.crashed) {
             endpoint.crashed = false;
             endpoint.promisedTerm = 0;
@@ -222,12 +211,12 @@
     }
 
     /** Commits a write if the endpoint considers itself the primary; empty if it does not. */
-    Optional<Commit> commit(EndpointName name) {
-        Endpoint endpoint = endpoints.get(name);
+    Optional<SimulatedEndpoint.Commit> commit(EndpointName name) {
+        SimulatedEndpoint endpoint = endpoints.get(name);
         if (endpoint.crashed || !endpoint.primary) {
             return Optional.empty();
         }
-        Commit commit = new Commit(endpoint.term);
+        SimulatedEndpoint.Commit commit = new SimulatedEndpoint.Commit(endpoint.term);
         endpoint.log.add(commit);
         endpoints.keySet().forEach(this::receive);
         return Optional.of(commit);
@@ -235,36 +224,28 @@
 
     /** Lets a replica copy the log of the primary of its term. */
     private void receive(EndpointName name) {
-        Endpoint replica = endpoints.get(name);
-        Endpoint source = endpoints.values().stream()
+        SimulatedEndpoint replica = endpoints.get(name);
+        SimulatedEndpoint source = endpoints.values().stream()
                 .filter(each -> each.primary && !each.crashed && each.term == replica.term)
                 .findFirst()
                 .orElse(null);
-        if (source == null
-                || replica.primary
-                || replica.crashed
-                || replica.disconnected
-                || replica.promisedTerm > source.term) {
-            return;
-        }
-        int common = Math.min(replica.log.size(), source.log.size());
-        while (common > 0 && replica.log.get(common - 1) != source.log.get(common - 1)) {
-            common--;
-        }
-        replica.log.subList(common, replica.log.size()).clear();
-        for (Commit commit : source.log.subList(common, source.log.size())) {
-            replica.log.add(commit);
-            commit.receivers.add(name);
+        if (source != null
+                && network.connects(source.domain, replica.domain)
+                && !replica.primary
+                && !replica.crashed
+                && !replica.disconnected
+                && replica.promisedTerm <= source.term) {
+            replica.copyLog(name, source);
         }
     }
 
     /** Returns whether the endpoint that committed a write may respond to it. */
-    boolean isReplicated(Commit commit) {
+    boolean isReplicated(SimulatedEndpoint.Commit commit) {
         return commit.receivers.size() >= syncReplicas;
     }
 
     /** Records that a caller was told that its write is committed. */
-    void acknowledged(Commit commit) {
+    void acknowledged(SimulatedEndpoint.Commit commit) {
         if (syncReplicas > 0) {
             acknowledged.add(commit);
         }
@@ -277,20 +258,11 @@
 
     /** Returns the report of an endpoint, or a failure if it has crashed. */
     Either<Failure, EndpointReport> report(EndpointName name) {
-        Endpoint endpoint = endpoints.get(name);
+        SimulatedEndpoint endpoint = endpoints.get(name);
         if (endpoint.crashed) {
             return Either.left(Failure.of(ErrorKind.NO_ELIGIBLE_ENDPOINT, "crashed"));
         }
-        return Either.right(new EndpointReport(
-                endpoint.primary ? EndpointRole.PRIMARY : EndpointRole.REPLICA,
-                endpoint.term,
-                position(endpoint),
-                endpoint.promisedTerm));
-    }
-
-    private static LogPoint position(Endpoint endpoint) {
-        int size = endpoint.log.size();
-        return LogPoint.of(size == 0 ? 1 : endpoint.log.get(size - 1).term, size);
+        return Either.right(endpoint.report());
     }
 
     /** Sets whether failovers cannot reach an endpoint. Daemons still receive its reports and send it writes. */
@@ -298,7 +270,7 @@
         endpoints.get(name).isolated = isolated;
     }
 
-    private boolean isUnreachable(Endpoint endpoint) {
+    private boolean isUnreachable(SimulatedEndpoint endpoint) {
         return endpoint.isolated || random.nextDouble() < simulation.endpointFaultRate();
     }
 
@@ -311,7 +283,7 @@
 
     @Override
     public Either<Failure, EndpointReport> pauseReplication(EndpointEntry endpoint, long term) {
-        Endpoint found = endpoints.get(endpoint.name());
+        SimulatedEndpoint found = endpoints.get(endpoint.name());
         if (found.crashed || isUnreachable(found)) {
             return Either.left(Failure.of(ErrorKind.NO_ELIGIBLE_ENDPOINT, "unreachable"));
         }
@@ -321,7 +293,7 @@
 
     @Override
     public Either<Failure, EndpointReport> stepDown(EndpointEntry endpoint, long term) {
-        Endpoint found = endpoints.get(endpoint.name());
+        SimulatedEndpoint found = endpoints.get(endpoint.name());
         if (found.crashed || isUnreachable(found)) {
             return Either.left(Failure.of(ErrorKind.NO_ELIGIBLE_ENDPOINT, "unreachable"));
         }
@@ -333,14 +305,13 @@
 
     @Override
     public Either<Failure, PromotionAnswer> promote(GroupName group, EndpointName candidate, long fencingToken) {
-        Endpoint endpoint = endpoints.get(candidate);
+        SimulatedEndpoint endpoint = endpoints.get(candidate);
         if (endpoint.crashed || (refusalRate > 0 && random.nextDouble() < refusalRate)) {
             return Either.right(PromotionAnswer.REFUSED);
         }
         long startedAt = endpoint.startedAt;
         simulation.schedule(200 + random.nextLong(900), () -> {
-            // With registered endpoints, an order to promote ends with the process that it was given to.
-            if (directory.isEmpty() || endpoint.startedAt == startedAt) {
+            if (!ordersEndWithProcess || endpoint.startedAt == startedAt) {
                 completePromotion(candidate);
             }
         });
@@ -350,11 +321,11 @@
     }
 
     private void completePromotion(EndpointName candidate) {
-        Endpoint endpoint = endpoints.get(candidate);
+        SimulatedEndpoint endpoint = endpoints.get(candidate);
         if (endpoint.crashed || (endpoint.primary && candidate.equals(leader))) {
             return;
         }
-        Set<Commit> kept = new HashSet<>(endpoint.log);
+        Set<SimulatedEndpoint.Commit> kept = new HashSet<>(endpoint.log);
         long lost =
                 acknowledged.stream().filter(commit -> !kept.contains(commit)).count();
         if (lost > 0 && lostCommits.isEmpty()) {
@@ -368,12 +339,12 @@
         endpoint.promisedTerm = 0;
         leader = candidate;
         long newTerm = newestTerm;
-        for (Endpoint other : endpoints.values()) {
+        for (SimulatedEndpoint other : endpoints.values()) {
             if (other != endpoint) {
                 // A promotion clears the promises of all replicas, including those that do not know the new term yet.
                 other.promisedTerm = 0;
-                simulation.schedule(random.nextLong(800), () -> follow(other, newTerm));
-                simulation.schedule(1000 + random.nextLong(6000), () -> demoteFor(other, newTerm));
+                whenConnected(random.nextLong(800), endpoint, other, () -> other.follow(newTerm));
+                whenConnected(1000 + random.nextLong(6000), endpoint, other, () -> other.demoteFor(newTerm));
             }
         }
         for (long delay = 800; delay < 7000; delay += 800) {
@@ -381,17 +352,38 @@
         }
     }
 
-    private static void follow(Endpoint endpoint, long term) {
-        if (!endpoint.crashed && !endpoint.primary && endpoint.term < term) {
-            endpoint.term = term;
-            endpoint.promisedTerm = 0;
-        }
+    /** Runs an action after a delay or, if the endpoints are separated then, some time after they no longer are. */
+    private void whenConnected(
+            long delayMillis, SimulatedEndpoint from, SimulatedEndpoint destination, Runnable action) {
+        simulation.schedule(delayMillis, () -> {
+            if (network.connects(from.domain, destination.domain)) {
+                action.run();
+            } else {
+                whenConnected(RECONNECTION_MILLIS, from, destination, action);
+            }
+        });
     }
 
-    private static void demoteFor(Endpoint endpoint, long term) {
-        if (!endpoint.crashed && endpoint.term < term) {
-            endpoint.primary = false;
-            endpoint.term = term;
-        }
+    /** Returns the failure domain of an endpoint. */
+    int domain(EndpointName name) {
+        return endpoints.get(name).domain;
+    }
+
+    /** Lets the endpoints of a failure domain that is no longer cut off register again. */
+    void registerDomain(int domain) {
+        endpoints.forEach((name, endpoint) -> {
+            if (endpoint.domain == domain) {
+                register(name);
+            }
+        });
+    }
+
+    /** Lets the registrations of the endpoints of a failure domain that is cut off expire. */
+    void expireDomain(int domain) {
+        endpoints.forEach((name, endpoint) -> {
+            if (endpoint.domain == domain) {
+                expireRegistration(name);
+            }
+        });
     }
 }
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SimulatedStore.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SimulatedStore.java
@@ -157,11 +157,13 @@
 
     /** Writes the registration of an endpoint. */
     void register(StoreChange.EndpointChanged registration) {
+        revision++;
         endpoints.put(registration.entry().name(), registration);
     }
 
     /** Removes the registration of an endpoint. */
     void unregister(EndpointName name) {
+        revision++;
         endpoints.remove(name);
     }
 
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SyncFailoverSafetyTest.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SyncFailoverSafetyTest.java
@@ -1,8 +1,6 @@
 package org.lavenderwick.core.failover;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -32,9 +30,8 @@
 
     private static final long BASE_SEED = Long.getLong("lavenderwick.failover.baseSeed", 20_261_205);
     private static final long DURATION_MILLIS = 30_000;
-    private static final int DAEMONS = 3;
     private static final int FAULTS_OF_A_KIND = 3;
-    private static final SimulatedDaemon.SyncGuards ALL_GUARDS = new SimulatedDaemon.SyncGuards(true, true);
+    private static final SimulatedSyncReplicas.Guards ALL_GUARDS = new SimulatedSyncReplicas.Guards(true, true);
 
     private enum Fault {
         CRASH,
@@ -54,51 +51,40 @@
 
     /** What is simulated: the faults, how many replicas a commit needs, and what the daemons know of it. */
     private record Scenario(
-            Fault first, Fault second, int required, int configured, SimulatedDaemon.SyncGuards guards) {
+            Fault first, Fault second, int required, int configured, SimulatedSyncReplicas.Guards guards) {
 
         private String run(long seed) {
-            Random random = new Random(seed);
-            Simulation simulation = new Simulation();
-            SimulatedStore store = new SimulatedStore(simulation, random, true, true);
-            SimulatedGroup group = new SimulatedGroup(simulation, random);
+            SimulatedFleet fleet = new SimulatedFleet(seed, Safeguards.all());
+            SimulatedGroup group = fleet.group();
             group.setSyncReplicas(required);
-            group.registerIn(store);
-            store.configure(new Catalog(
-                    1,
-                    Map.of(),
-                    Map.of(SimulatedGroup.NAME, 21),
-                    configured == 0 ? Map.of() : Map.of(SimulatedGroup.NAME, configured),
-                    Duration.ofSeconds(3),
-                    AccountDirectory.EMPTY));
-            List<SimulatedDaemon> daemons = new ArrayList<>();
-            for (int index = 0; index < DAEMONS; index++) {
-                SimulatedDaemon daemon =
-                        new SimulatedDaemon(simulation, random, store, group, FailoverSafetyTest.Safeguards.all());
-                daemons.add(daemon);
-                daemon.start();
-                daemon.useDirectory(guards);
-            }
-            daemons.forEach(daemon -> daemon.setPeers(
-                    daemons.stream().filter(peer -> peer != daemon).toList()));
+            group.endOrdersWithProcess();
+            fleet.store()
+                    .configure(new Catalog(
+                            1,
+                            Map.of(),
+                            Map.of(SimulatedGroup.NAME, 21),
+                            configured == 0 ? Map.of() : Map.of(SimulatedGroup.NAME, configured),
+                            Duration.ofSeconds(3),
+                            AccountDirectory.EMPTY));
+            fleet.start();
+            fleet.daemons().forEach(daemon -> daemon.maintainSyncReplicas(guards));
             for (int number = 0; number < FAULTS_OF_A_KIND; number++) {
-                inject(first, simulation, random, store, group, daemons);
-                inject(second, simulation, random, store, group, daemons);
+                inject(first, fleet);
+                inject(second, fleet);
             }
-            simulation.runUntil(DURATION_MILLIS);
+            fleet.simulation().runUntil(DURATION_MILLIS);
             return group.lostCommits().isEmpty() ? "" : this + ", seed " + seed + ": " + group.lostCommits();
         }
     }
 
-    private static void inject(
-            Fault fault,
-            Simulation simulation,
-            Random random,
-            SimulatedStore store,
-            SimulatedGroup group,
-            List<SimulatedDaemon> daemons) {
+    private static void inject(Fault fault, SimulatedFleet fleet) {
+        Simulation simulation = fleet.simulation();
+        Random random = fleet.random();
+        SimulatedStore store = fleet.store();
+        SimulatedGroup group = fleet.group();
         long start = 3000 + random.nextLong(DURATION_MILLIS - 5000);
         long end = start + 200 + random.nextLong(6000);
-        SimulatedDaemon daemon = daemons.get(random.nextInt(daemons.size()));
+        SimulatedDaemon daemon = fleet.daemon(random.nextInt(SimulatedFleet.DAEMONS));
         boolean primary = random.nextInt(3) == 0;
         int index = random.nextInt(3);
         EndpointName[] target = new EndpointName[1];
@@ -160,7 +146,7 @@
 
     /** Returns the first loss among a number of rounds, each with several seeds for every pair of faults. */
     private static Optional<String> firstLoss(
-            int required, int configured, SimulatedDaemon.SyncGuards guards, long rounds) {
+            int required, int configured, SimulatedSyncReplicas.Guards guards, long rounds) {
         return LongStream.range(0, rounds)
                 .mapToObj(round -> firstLossOfRound(required, configured, guards, round))
                 .flatMap(Optional::stream)
@@ -168,7 +154,7 @@
     }
 
     private static Optional<String> firstLossOfRound(
-            int required, int configured, SimulatedDaemon.SyncGuards guards, long round) {
+            int required, int configured, SimulatedSyncReplicas.Guards guards, long round) {
         int kinds = Fault.values().length;
         return LongStream.range(0, kinds * kinds * PAIR_SEEDS)
                 .parallel()
@@ -204,13 +190,13 @@
 
         @Test
         void departedReplicasAreForgotten() {
-            assertThat(firstLoss(1, 1, new SimulatedDaemon.SyncGuards(false, true), ROUNDS_WITHOUT_SAFEGUARD))
+            assertThat(firstLoss(1, 1, new SimulatedSyncReplicas.Guards(false, true), ROUNDS_WITHOUT_SAFEGUARD))
                     .isPresent();
         }
 
         @Test
         void restartsAreNotDistinguished() {
-            assertThat(firstLoss(1, 1, new SimulatedDaemon.SyncGuards(true, false), ROUNDS_WITHOUT_SAFEGUARD))
+            assertThat(firstLoss(1, 1, new SimulatedSyncReplicas.Guards(true, false), ROUNDS_WITHOUT_SAFEGUARD))
                     .isPresent();
         }
     }
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/TermRecordTest.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/TermRecordTest.java
@@ -44,6 +44,18 @@
                     .isEqualTo(later);
         }
 
+        /** Guards against a record that daemons of earlier versions reject, which expect five fields on each line. */
+        @Test
+        void namesMembersInTheFormOfAGroup() {
+            TermRecord withMembers = RECORD.withMembership(
+                    ORDERS, new GroupMembership(Set.of(FIRST, EndpointName.of("a,+b c")), Set.of(SECOND)));
+            String text = TermRecordCodec.encode(withMembers);
+            assertThat(TermRecordCodec.decode(text).get()).isEqualTo(withMembers);
+            assertThat(text.lines().skip(1))
+                    .allSatisfy(line -> assertThat(line.split(" ")).hasSize(5));
+            assertThat(text).contains("orders#members a%2C%2Bb+c,e1,+e2 0 CLOSING 0");
+        }
+
         @ParameterizedTest
         @ValueSource(
                 strings = {
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/UnanimousEvidenceTest.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/UnanimousEvidenceTest.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.junit.jupiter.api.Test;
 import org.lavenderwick.core.catalog.EndpointRole;
@@ -76,4 +77,17 @@
     void isMissingWithoutMembers() {
         assertThat(UnanimousEvidence.evaluate(List.of(), reports)).isEmpty();
     }
+
+    /** Guards against members that count although the store may have got others long ago. */
+    @Test
+    void requiresMembersThatWereConfirmedRecently() {
+        reportUnchangedTerm();
+        Duration maxAge = FailoverTimings.DEFAULTS.membershipMaxAge();
+        ConfirmedMembers recent =
+                new ConfirmedMembers(Set.copyOf(MEMBERS), Duration.ofMillis(10).minus(maxAge));
+        assertThat(UnanimousEvidence.evaluate(recent, FailoverTimings.DEFAULTS, reports))
+                .isPresent();
+        assertThat(UnanimousEvidence.evaluate(recent.olderBy(Duration.ofMillis(1)), FailoverTimings.DEFAULTS, reports))
+                .isEmpty();
+    }
 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/EvidenceRenewal.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/EvidenceRenewal.java
@@ -81,24 +81,27 @@
     }
 
     private void perform(RenewalPolicy.Action action) throws InterruptedException {
-        boolean confirmed = action == RenewalPolicy.Action.REQUEST_CONFIRMATION && requestConfirmation();
-        if (action != RenewalPolicy.Action.NONE) {
-            if (!confirmed) {
-                terms.renewLease(replacementDelay.get());
-            }
-            onRenewed.run();
+        if (action == RenewalPolicy.Action.NONE) {
+            return;
+        }
+        Duration startedAt = clock.now();
+        boolean asked = action == RenewalPolicy.Action.REQUEST_CONFIRMATION;
+        boolean confirmed = asked && requestConfirmation();
+        if (asked && !confirmed) {
+            policy.onConfirmationMissed(startedAt);
         }
+        if (!confirmed && !terms.renewLease(replacementDelay.get()) && !asked) {
+            // The store may refuse this daemon alone.
+            requestConfirmation();
+        }
+        onRenewed.run();
     }
 
     /** Lets the daemon whose feed is read confirm its renewal; returns whether the confirmation proves the record. */
     private boolean requestConfirmation() throws InterruptedException {
         Duration requestedAt = clock.now();
         Optional<LeaseConfirmation> confirmation = confirmations.request(CONFIRMATION_TIMEOUT);
-        if (confirmation.isPresent() && terms.onConfirmed(confirmation.get(), requestedAt)) {
-            return true;
-        }
-        policy.onConfirmationMissed(requestedAt);
-        return false;
+        return confirmation.isPresent() && terms.onConfirmed(confirmation.get(), requestedAt);
     }
 
     private synchronized void awaitNext(RenewalPolicy.Action action) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
@@ -20,6 +20,7 @@
 import org.lavenderwick.core.catalog.Catalog;
 import org.lavenderwick.core.dispatch.GroupOwners;
 import org.lavenderwick.core.failover.ActingOrder;
+import org.lavenderwick.core.failover.ConfirmedMembers;
 import org.lavenderwick.core.failover.FailoverWait;
 import org.lavenderwick.core.failover.GroupDirectory;
 import org.lavenderwick.core.failover.PromotionPort;
@@ -267,8 +268,9 @@
             }
         }
         Map<GroupName, ProvenPrimary> proven = terms.evidence().views();
-        if (snapshot != published || !proven.equals(published.provenPrimaries())) {
-            published = snapshot.withProvenPrimaries(proven);
+        Map<GroupName, ConfirmedMembers> members = terms.evidence().confirmedMembers();
+        if (snapshot != published || !published.hasEvidence(proven, members)) {
+            published = snapshot.withEvidence(proven, members);
             traffic.applySnapshot(published);
         }
     }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetReport.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetReport.java
@@ -56,7 +56,8 @@
             describeWait(group).ifPresent(lines::add);
             storeCache.members(group).values().stream()
                     .sorted(Comparator.comparing(EndpointEntry::name))
-                    .forEach(endpoint -> lines.add("  " + describe(endpoint)));
+                    .forEach(endpoint -> lines.add("  " + describe(endpoint)
+                            + (terms.membership(group).joining().contains(endpoint.name()) ? "  joining" : "")));
         }
         lines.add("daemons:");
         new TreeMap<>(LiveDaemons.decode(storeCache.entriesWithPrefix(LiveDaemons.PREFIX)))
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetUpkeep.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetUpkeep.java
@@ -57,7 +57,7 @@
     /** Wait for each owner before this daemon before it records the first primary of a group. */
     private static final Duration FIRST_PRIMARY_DELAY = Duration.ofMillis(100);
 
-    /** Wait for each owner before this daemon before it writes which replicas may hold acknowledged commits. */
+    /** Wait for each owner before this daemon before it writes which endpoints are members of a group. */
     private static final Duration MEMBERSHIP_DELAY = Duration.ofMillis(100);
 
     /**
@@ -82,6 +82,7 @@
     private final FailoverManager failovers;
     private final Function<GroupName, GroupDirectory> directories;
     private final SyncMembershipManager syncMemberships;
+    private final GroupMembershipManager memberships;
     private final LeasedEntry daemonEntry;
     private final TrafficThread traffic;
     private final Supplier<FleetSnapshot> snapshot;
@@ -125,6 +126,7 @@
         this.failovers = failovers;
         this.directories = directories;
         this.syncMemberships = new SyncMembershipManager(store, codec, clock, storeCache, terms.evidence());
+        this.memberships = new GroupMembershipManager(terms, clock);
         this.daemonEntry = new LeasedEntry(store, LiveDaemons.key(daemon), DAEMON_ENTRY_TIME_TO_LIVE, random);
         this.traffic = traffic;
         this.snapshot = snapshot;
@@ -201,6 +203,7 @@
             List<DaemonName> owners = current.owners(group);
             if (!owners.contains(daemon)) {
                 unreachabilityVotes.withdraw(group);
+                memberships.forget(group);
                 continue;
             }
             Optional<GroupTerm> term = record.group(group);
@@ -232,13 +235,15 @@
                 .isPresent();
         FailoverTrigger.Situation situation = new FailoverTrigger.Situation(term, members, votedOut, locked, awaiting);
         failovers.startIfDue(group, situation, turn(owners, FailoverTrigger.STEP), clock.now());
+        GroupDirectory directory = directories.apply(group);
+        memberships.maintain(group, directory, turn(owners, MEMBERSHIP_DELAY));
         boolean isSynchronous = storeCache
                 .catalog()
                 .filter(catalog -> catalog.syncReplicas().containsKey(group))
                 .isPresent();
         if (isSynchronous) {
             long era = terms.evidence().record().era();
-            syncMemberships.maintain(group, term, directories.apply(group), era, turn(owners, MEMBERSHIP_DELAY));
+            syncMemberships.maintain(group, term, directory, era, turn(owners, MEMBERSHIP_DELAY));
         } else {
             syncMemberships.forget(group);
         }
@@ -286,7 +291,7 @@
                     LOG.infof(
                             "[fleet] Recording %s in era %d of the store: primary %s in term %d, %s.",
                             group, era, term.primary(), term.term(), term.phase());
-                    terms.addGroup(group, term, era);
+                    terms.addGroup(group, term, era, members.keySet());
                 });
     }
 
@@ -306,7 +311,7 @@
                                 "[fleet] Endpoint %s is the primary of %s in term %d; adding it to the term record.",
                                 primaries.get(0).name(), group, status.term());
                         GroupTerm term = GroupTerm.open(primaries.get(0).name(), status.term(), EraRevision.of(era, 0));
-                        terms.addGroup(group, term, era);
+                        terms.addGroup(group, term, era, members.keySet());
                     }));
         }
     }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/TermRecordManager.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/TermRecordManager.java
@@ -2,12 +2,14 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.Set;
 
 import io.vavr.control.Either;
 import org.jboss.logging.Logger;
 import org.lavenderwick.core.error.ErrorKind;
 import org.lavenderwick.core.error.Failure;
 import org.lavenderwick.core.failover.FailoverTimings;
+import org.lavenderwick.core.failover.GroupMembershipTracker;
 import org.lavenderwick.core.failover.GroupTerm;
 import org.lavenderwick.core.failover.LeaseConfirmation;
 import org.lavenderwick.core.failover.LeaseEvidence;
@@ -15,6 +17,7 @@
 import org.lavenderwick.core.failover.TermLease;
 import org.lavenderwick.core.failover.TermRecord;
 import org.lavenderwick.core.failover.TermRecordStore;
+import org.lavenderwick.core.model.EndpointName;
 import org.lavenderwick.core.model.GroupName;
 import org.lavenderwick.core.store.FleetStore;
 import org.lavenderwick.core.store.StoreEntry;
@@ -78,17 +81,18 @@
      *
      * @param replacementDelay time for which this daemon waits for others to replace an expired lease; empty if it does
      *     not replace it
+     * @return whether the lease was renewed
      */
-    void renewLease(Optional<Duration> replacementDelay) {
+    boolean renewLease(Optional<Duration> replacementDelay) {
         TermRecord record = evidence.record();
         long lease = record.lease();
         Duration now = clock.now();
         if (lease == StoreWrite.NO_LEASE || now.compareTo(nextRenewalAt) < 0) {
-            return;
+            return false;
         }
         if (isLeaseExpired()) {
             replaceExpiredLeaseAfter(now, replacementDelay);
-            return;
+            return false;
         }
         Either<Failure, Long> renewed = store.renewLease(lease);
         if (renewed.isRight()) {
@@ -104,19 +108,19 @@
                     ? retryDelay.multipliedBy(2)
                     : MAX_RETRY_DELAY;
         }
+        return renewed.isRight();
     }
 
     /**
-     * Records the confirmation of a renewal by another daemon, and returns whether it proves the current record.
+     * Records the confirmation of a renewal by another daemon. One that is too old to prove a primary still shows until
+     * when the members of the groups were known to be complete.
      *
      * @param requestedAt when it was requested
+     * @return whether it proves the current record for long enough to be of use
      */
     boolean onConfirmed(LeaseConfirmation confirmation, Duration requestedAt) {
-        boolean useful = RenewalPolicy.isUseful(confirmation, evidence.record());
-        if (useful) {
-            evidence.onConfirmed(confirmation, requestedAt);
-        }
-        return useful;
+        evidence.onConfirmed(confirmation, requestedAt);
+        return RenewalPolicy.isUseful(confirmation, evidence.record());
     }
 
     /** Returns whether this daemon has found the lease of the current term record to be expired. */
@@ -141,8 +145,12 @@
                 .peek(lease -> write(evidence.record().replacingExpiredLease(lease)));
     }
 
-    /** Adds a group to the term record of the given era, unless the record already has the group. */
-    void addGroup(GroupName group, GroupTerm term, long era) {
+    /**
+     * Adds a group to the term record of the given era, unless the record already has the group.
+     *
+     * @param registered the endpoints of the group that are registered
+     */
+    void addGroup(GroupName group, GroupTerm term, long era, Set<EndpointName> registered) {
         if (!reload() || evidence.record().group(group).isPresent()) {
             return;
         }
@@ -157,7 +165,32 @@
             }
             record = record.replacingExpiredLease(lease.get());
         }
-        write(record.with(group, term));
+        write(record.adding(group, term, evidence.inheritedMembership(group), registered));
+    }
+
+    /**
+     * Changes the membership of a group, provided that the record is still the given one.
+     *
+     * @return whether the record was changed
+     */
+    boolean changeMembership(GroupName group, GroupMembershipTracker.Change change, TermRecord record, long revision) {
+        TermRecord changed = record.withMembership(group, change.membership());
+        if (change.revokesLeases()) {
+            for (long earlier : record.leasesToRevoke()) {
+                if (store.revokeLease(earlier).isLeft()) {
+                    return false;
+                }
+            }
+            changed = changed.withoutRevokedLeases(record.leasesToRevoke());
+        }
+        if (change.needsNewLease()) {
+            Either<Failure, Long> lease = store.grantLease(TermLease.TIME_TO_LIVE);
+            if (lease.isLeft()) {
+                return false;
+            }
+            changed = changed.withLease(lease.get());
+        }
+        return write(changed, revision);
     }
 
     /** Reads the term record from the store; returns false if the call fails. */
@@ -169,8 +202,13 @@
     }
 
     private void write(TermRecord record) {
-        records.write(record, evidence.revision())
+        write(record, evidence.revision());
+    }
+
+    private boolean write(TermRecord record, long expectedRevision) {
+        return records.write(record, expectedRevision)
                 .peek(revision -> evidence.install(record, revision))
-                .peekLeft(failure -> LOG.debugf("[fleet] Could not write the term record: %s", failure.detail()));
+                .peekLeft(failure -> LOG.debugf("[fleet] Could not write the term record: %s", failure.detail()))
+                .isRight();
     }
 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/ClockJumpDetector.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/ClockJumpDetector.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Optional;
 
 import org.lavenderwick.core.time.MonotonicClock;
 
@@ -38,13 +39,16 @@
         return new ClockJumpDetector(monotonic, wall);
     }
 
-    /** Returns whether the difference between the clocks has changed since the previous call by more than allowed. */
-    boolean hasJumped() {
+    /**
+     * Returns by how much the difference between the clocks has changed since the previous call; empty if by no more
+     * than allowed. It is the length of a suspension, if there was one and the wall clock was not set.
+     */
+    Optional<Duration> jump() {
         Duration monotonicNow = monotonic.now();
         Instant wallNow = wall.instant();
         Duration drift = Duration.between(lastWall, wallNow).minus(monotonicNow.minus(lastMonotonic));
         lastMonotonic = monotonicNow;
         lastWall = wallNow;
-        return drift.abs().compareTo(MAX_DRIFT) > 0;
+        return Optional.of(drift.abs()).filter(length -> length.compareTo(MAX_DRIFT) > 0);
     }
 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/FleetSnapshot.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/FleetSnapshot.java
@@ -12,6 +12,7 @@
 import org.lavenderwick.core.catalog.Catalog;
 import org.lavenderwick.core.catalog.EndpointEntry;
 import org.lavenderwick.core.dispatch.GroupOwners;
+import org.lavenderwick.core.failover.ConfirmedMembers;
 import org.lavenderwick.core.failover.ProvenPrimary;
 import org.lavenderwick.core.model.DaemonName;
 import org.lavenderwick.core.model.EndpointName;
@@ -21,7 +22,7 @@
 /**
  * An immutable snapshot of the fleet, passed from the control thread to the traffic thread: the configuration, the
  * endpoints, the daemons, the owners of each group, the proven primaries and the failovers that wait. The proven
- * primaries change several times a second, the other parts rarely, so {@link #withProvenPrimaries} reuses the computed
+ * primaries change several times a second, the other parts rarely, so {@link #withEvidence} reuses the computed
  * owners, and {@link #update} reuses all that has not changed.
  */
 public final class FleetSnapshot {
@@ -37,6 +38,7 @@
     private final ImmutableMap<DaemonName, Peer> peers;
     private final ImmutableMap<GroupName, List<DaemonName>> owners;
     private final ImmutableMap<GroupName, ProvenPrimary> provenPrimaries;
+    private final ImmutableMap<GroupName, ConfirmedMembers> confirmedMembers;
     private final ImmutableSet<GroupName> waitingFailovers;
 
     private FleetSnapshot(
@@ -45,12 +47,14 @@
             ImmutableMap<DaemonName, Peer> peers,
             ImmutableMap<GroupName, List<DaemonName>> owners,
             ImmutableMap<GroupName, ProvenPrimary> provenPrimaries,
+            ImmutableMap<GroupName, ConfirmedMembers> confirmedMembers,
             ImmutableSet<GroupName> waitingFailovers) {
         this.catalog = catalog;
         this.endpoints = endpoints;
         this.peers = peers;
         this.owners = owners;
         this.provenPrimaries = provenPrimaries;
+        this.confirmedMembers = confirmedMembers;
         this.waitingFailovers = waitingFailovers;
     }
 
@@ -69,6 +73,7 @@
                 ImmutableMap.copyOf(peers),
                 selectOwners(catalog, endpoints, peers),
                 ImmutableMap.of(),
+                ImmutableMap.of(),
                 ImmutableSet.of());
     }
 
@@ -97,6 +102,7 @@
                 samePeers ? before.peers : ImmutableMap.copyOf(peers),
                 sameOwners ? before.owners : selectOwners(catalog, endpoints, peers),
                 before.provenPrimaries,
+                before.confirmedMembers,
                 before.waitingFailovers);
     }
 
@@ -123,16 +129,36 @@
         return owners.buildOrThrow();
     }
 
-    /** Returns a copy of this snapshot with the given proven primaries. */
-    public FleetSnapshot withProvenPrimaries(Map<GroupName, ProvenPrimary> proven) {
-        return new FleetSnapshot(catalog, endpoints, peers, owners, ImmutableMap.copyOf(proven), waitingFailovers);
+    /** Returns a copy of this snapshot with the given proven primaries and the members that may prove others. */
+    public FleetSnapshot withEvidence(
+            Map<GroupName, ProvenPrimary> proven, Map<GroupName, ConfirmedMembers> confirmed) {
+        return new FleetSnapshot(
+                catalog,
+                endpoints,
+                peers,
+                owners,
+                ImmutableMap.copyOf(proven),
+                ImmutableMap.copyOf(confirmed),
+                waitingFailovers);
+    }
+
+    /** Returns whether this snapshot has the given proven primaries and members. */
+    public boolean hasEvidence(Map<GroupName, ProvenPrimary> proven, Map<GroupName, ConfirmedMembers> confirmed) {
+        return provenPrimaries.equals(proven) && confirmedMembers.equals(confirmed);
     }
 
     /** Returns a snapshot with the groups whose failover waits for endpoints; this one if they are the same. */
     public FleetSnapshot withWaitingFailovers(Set<GroupName> waiting) {
         return waiting.equals(waitingFailovers)
                 ? this
-                : new FleetSnapshot(catalog, endpoints, peers, owners, provenPrimaries, ImmutableSet.copyOf(waiting));
+                : new FleetSnapshot(
+                        catalog,
+                        endpoints,
+                        peers,
+                        owners,
+                        provenPrimaries,
+                        confirmedMembers,
+                        ImmutableSet.copyOf(waiting));
     }
 
     /** Returns whether the failover of a group waits for endpoints, so that no primary can be expected. */
@@ -171,6 +197,11 @@
         return provenPrimaries;
     }
 
+    /** Returns the members of each group whose reports may prove its primary. */
+    public Map<GroupName, ConfirmedMembers> confirmedMembers() {
+        return confirmedMembers;
+    }
+
     /** Returns whether the configuration names client accounts, so that each connection belongs to one. */
     public boolean areAccountsInForce() {
         return areAccountsInForce(catalog);
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GroupDispatcher.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GroupDispatcher.java
@@ -41,12 +41,13 @@
     private final RandomGenerator random;
     private final GroupName group;
     private final StatementResultHandler resultHandler;
-    private final PrimaryTracker primaryTracker = new PrimaryTracker(FailoverTimings.DEFAULTS.evidenceMaxAge());
+    private final PrimaryTracker primaryTracker = new PrimaryTracker(FailoverTimings.DEFAULTS);
     private final PositionHistory positions = PositionHistory.create(POSITION_WINDOW);
     private final Map<EndpointName, EndpointConnectionPool> pools = new HashMap<>();
     private final StatementQueue queue = new StatementQueue();
     private final Admission admission = new Admission();
     private final StatusRequester statusRequester;
+    private final EvidenceLog evidenceLog;
     private final ConnectionCounters counters;
     private final EndpointBalancing balancing;
     private final EndpointAssigner assigner;
@@ -72,6 +73,7 @@
         this.primaryAbsence = PrimaryAbsence.create(random);
         this.resultHandler = new StatementResultHandler(this, loop);
         this.statusRequester = new StatusRequester(loop, codec, primaryTracker, positions, pools);
+        this.evidenceLog = new EvidenceLog(group);
         this.counters = new ConnectionCounters(group, loop.now());
         this.balancing = new EndpointBalancing(loop, group, random, balancingSettings);
         this.assigner =
@@ -90,7 +92,9 @@
         }
         primaryAbsence.onReplacementWaiting(snapshot.isFailoverWaiting(group));
         primaryTracker.onTermRecord(
-                Optional.ofNullable(snapshot.provenPrimaries().get(group)), loop.now());
+                Optional.ofNullable(snapshot.provenPrimaries().get(group)),
+                Optional.ofNullable(snapshot.confirmedMembers().get(group)),
+                loop.now());
         dispatch();
     }
 
@@ -218,6 +222,7 @@
     boolean tick() {
         Duration now = loop.now();
         primaryTracker.resolvePending(now);
+        evidenceLog.check(primaryTracker, now);
         pools.values().forEach(EndpointConnectionPool::closeStalled);
         pools.values().forEach(EndpointConnectionPool::reconnectIfUnresponsive);
         if (accountsInForce) {
@@ -276,9 +281,13 @@
         }
     }
 
-    /** Discards the evidence and log positions gathered until the given time, because the host was suspended. */
-    void discardEvidence(Duration until) {
-        primaryTracker.discardEvidence(until);
+    /**
+     * Discards the evidence and log positions gathered until the given time, because the host was suspended.
+     *
+     * @param suspended how long it was suspended at most
+     */
+    void discardEvidence(Duration until, Duration suspended) {
+        primaryTracker.discardEvidence(until, suspended);
         positions.clear();
     }
 
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
@@ -333,13 +333,13 @@
     }
 
     private void checkForClockJump() {
-        if (clockJumpDetector.hasJumped()) {
+        clockJumpDetector.jump().ifPresent(length -> {
             LOG.warn("[session] The clocks of the host parted; evidence of terms is discarded and collected again.");
             // Not the time at which this iteration began: a renewal may have been dated since then.
             evidenceDiscardedUntil = loop.currentTime();
-            dispatchers.values().forEach(dispatcher -> dispatcher.discardEvidence(evidenceDiscardedUntil));
+            dispatchers.values().forEach(dispatcher -> dispatcher.discardEvidence(evidenceDiscardedUntil, length));
             operationStart.limiter().ifPresent(limiter -> limiter.discard(evidenceDiscardedUntil));
-        }
+        });
     }
 
     /** Runs the tick of one group; an unexpected error in it must not keep those of the others from running. */
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/AccountFleet.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/AccountFleet.java
@@ -94,8 +94,8 @@
         }
 
         void apply() {
-            proxy.applySnapshot(snapshot.withProvenPrimaries(
-                    Map.of(GROUP, new ProvenPrimary(EndpointName.of("db-1"), 1, clock.now()))));
+            proxy.applySnapshot(snapshot.withEvidence(
+                    Map.of(GROUP, new ProvenPrimary(EndpointName.of("db-1"), 1, clock.now())), Map.of()));
         }
     }
 
