Number each joining of an endpoint in the term record

An endpoint is established by a daemon that has seen it joining for long enough. A daemon that was cut off while the endpoint left and joined again under its identity would have counted from the first joining, and so could have established it while others did not know it.

Each joining member now has the revision of the record on which it was decided, so that two joinings of one endpoint differ, and the time counts from the one that the record shows.

--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/GroupMembership.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/GroupMembership.java
@@ -1,9 +1,13 @@
 package org.lavenderwick.core.failover;
 
 import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Set;
 
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Maps;
 import com.google.common.collect.Sets;
 import org.lavenderwick.core.model.EndpointName;
 
@@ -13,27 +17,29 @@
  * endpoint that every daemon in this situation knows. Immutable.
  *
  * @param established the members that every daemon with valid evidence knows; a failover may promote them
- * @param joining the members that were added so recently that a daemon which lost the store before may not know them
+ * @param joining the members that were added so recently that a daemon which lost the store before may not know them,
+ *     each with a number that tells this joining from every other one of the same endpoint
  */
-public record GroupMembership(Set<EndpointName> established, Set<EndpointName> joining) {
+public record GroupMembership(Set<EndpointName> established, Map<EndpointName, Long> joining) {
 
     /** A membership without members. */
-    public static final GroupMembership EMPTY = new GroupMembership(Set.of(), Set.of());
+    public static final GroupMembership EMPTY = new GroupMembership(Set.of(), Map.of());
 
-    /** Copies the sets; a member that is in both counts as established. */
+    /** Copies the collections; a member that is in both counts as established. */
     public GroupMembership {
-        established = ImmutableSet.copyOf(established);
-        joining = Sets.difference(joining, established).immutableCopy();
+        Set<EndpointName> names = ImmutableSet.copyOf(established);
+        established = names;
+        joining = ImmutableMap.copyOf(Maps.filterKeys(joining, name -> !names.contains(name)));
     }
 
     /** Returns the membership of a group that no daemon has known before, so that all its members are established. */
     public static GroupMembership established(Collection<EndpointName> members) {
-        return new GroupMembership(ImmutableSet.copyOf(members), Set.of());
+        return new GroupMembership(ImmutableSet.copyOf(members), Map.of());
     }
 
     /** Returns all members. */
     public Set<EndpointName> all() {
-        return Sets.union(established, joining).immutableCopy();
+        return Sets.union(established, joining.keySet()).immutableCopy();
     }
 
     /** Returns whether there are no members, which is the case in records of daemons of earlier versions. */
@@ -41,20 +47,27 @@
         return established.isEmpty() && joining.isEmpty();
     }
 
-    /** Returns a copy to which the given endpoints are added as joining, unless they are members. */
-    public GroupMembership withJoining(Collection<EndpointName> endpoints) {
-        return new GroupMembership(established, Sets.union(joining, ImmutableSet.copyOf(endpoints)));
+    /**
+     * Returns a copy to which the given endpoints are added as joining, unless they are members.
+     *
+     * @param number a number under which none of them has joined before; those of the store's revisions grow
+     */
+    public GroupMembership withJoining(Collection<EndpointName> endpoints, long number) {
+        Map<EndpointName, Long> extended = new HashMap<>(joining);
+        endpoints.forEach(name -> extended.putIfAbsent(name, number));
+        return new GroupMembership(established, extended);
     }
 
     /** Returns a copy in which the given joining members are established. */
     public GroupMembership withEstablished(Collection<EndpointName> members) {
-        Set<EndpointName> added = Sets.intersection(joining, ImmutableSet.copyOf(members));
+        Set<EndpointName> added = Sets.intersection(joining.keySet(), ImmutableSet.copyOf(members));
         return new GroupMembership(Sets.union(established, added), joining);
     }
 
     /** Returns a copy without the given members. */
     public GroupMembership without(Collection<EndpointName> members) {
         Set<EndpointName> removed = ImmutableSet.copyOf(members);
-        return new GroupMembership(Sets.difference(established, removed), Sets.difference(joining, removed));
+        return new GroupMembership(
+                Sets.difference(established, removed), Maps.filterKeys(joining, name -> !removed.contains(name)));
     }
 }
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/GroupMembershipTracker.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/GroupMembershipTracker.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 
@@ -42,6 +43,7 @@
 
     private final GroupName group;
     private final FailoverTimings timings;
+    private Map<EndpointName, Long> joining = Map.of();
     private final Map<EndpointName, Duration> joiningSince = new HashMap<>();
     private final Map<EndpointName, Duration> absentSince = new HashMap<>();
     private final Set<EndpointName> draining = new HashSet<>();
@@ -64,14 +66,16 @@
      * Returns the change to make now; empty if there is none.
      *
      * @param record the current term record, which contains the group
+     * @param revision its revision in the store
      * @param directory what the daemon knows of the group
      * @param turn how long this daemon waits for those before it, each time there is something to change
      */
-    public Optional<Change> next(TermRecord record, GroupDirectory directory, Duration turn, Duration now) {
+    public Optional<Change> next(
+            TermRecord record, long revision, GroupDirectory directory, Duration turn, Duration now) {
         GroupTerm term = record.group(group).orElseThrow();
         GroupMembership membership = record.membership(group);
         observe(record, membership, directory, now);
-        Optional<Change> change = changeOf(term, membership, directory, now);
+        Optional<Change> change = changeOf(term, membership, revision, directory, now);
         if (change.isEmpty()) {
             dueSince = null;
             return change;
@@ -89,9 +93,14 @@
             earlierLeases = record.leasesToRevoke();
             earlierLeasesSince = now;
         }
-        joiningSince.keySet().retainAll(membership.joining());
+        // An endpoint may have left and joined again since the record that this daemon knew last.
+        joiningSince
+                .keySet()
+                .removeIf(name ->
+                        !Objects.equals(joining.get(name), membership.joining().get(name)));
+        joining = membership.joining();
         if (earlierLeases.isEmpty()) {
-            membership.joining().forEach(name -> joiningSince.putIfAbsent(name, now));
+            joining.keySet().forEach(name -> joiningSince.putIfAbsent(name, now));
         }
         Set<EndpointName> members = membership.all();
         directory.members().forEach((name, entry) -> {
@@ -108,7 +117,7 @@
     }
 
     private Optional<Change> changeOf(
-            GroupTerm term, GroupMembership membership, GroupDirectory directory, Duration now) {
+            GroupTerm term, GroupMembership membership, long revision, GroupDirectory directory, Duration now) {
         if (membership.isEmpty()) {
             // No daemon has evidence from the endpoints before the record names them.
             Set<EndpointName> members = Sets.union(directory.members().keySet(), Set.of(term.primary()));
@@ -121,11 +130,11 @@
             changed = changed.without(removable(term, now));
             Set<EndpointName> joined = joinable(membership, directory);
             joins = !joined.isEmpty();
-            changed = changed.withJoining(joined);
+            changed = changed.withJoining(joined, revision);
         }
         boolean revokes = !earlierLeases.isEmpty()
                 && term.phase() == TermPhase.OPEN
-                && !joiningSince.keySet().containsAll(membership.joining())
+                && !joiningSince.keySet().containsAll(joining.keySet())
                 && now.minus(earlierLeasesSince).compareTo(LEASE_OVERLAP) >= 0;
         return changed.equals(membership) && !revokes
                 ? Optional.empty()
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/TermRecord.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/TermRecord.java
@@ -78,7 +78,7 @@
         GroupMembership membership = membership(name);
         return membership.isEmpty()
                 ? changed
-                : changed.withMembership(name, membership.withJoining(Set.of(term.primary())));
+                : changed.withMembership(name, membership.withJoining(Set.of(term.primary()), term.fencingToken()));
     }
 
     /**
@@ -90,8 +90,9 @@
      */
     public TermRecord adding(GroupName name, GroupTerm term, GroupMembership known, Set<EndpointName> registered) {
         Set<EndpointName> endpoints = Sets.union(registered, Set.of(term.primary()));
-        GroupMembership membership =
-                known.isEmpty() ? GroupMembership.established(endpoints) : known.withJoining(endpoints);
+        GroupMembership membership = known.isEmpty()
+                ? GroupMembership.established(endpoints)
+                : known.withJoining(endpoints, term.fencingToken());
         return withMembership(name, membership).with(name, term);
     }
 
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/TermRecordCodec.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/TermRecordCodec.java
@@ -26,7 +26,7 @@
  * with the era is missing in the first one: daemons of earlier versions cannot read it.
  *
  * <p>The membership of a group is on a line of its own, which names the group with a suffix, the members in place of
- * the primary, each joining one after a plus sign, and a term that is never open. Daemons of earlier versions take it
+ * the primary, each joining one with its number, and a term that is never open. Daemons of earlier versions take it
  * for a group that no configuration contains, and keep it when they change the record.
  */
 public final class TermRecordCodec {
@@ -36,7 +36,7 @@
     private static final int GROUP_FIELDS = 5;
     private static final String MEMBERS_SUFFIX = "#members";
     private static final char MEMBER_SEPARATOR = ',';
-    private static final String JOINING_PREFIX = "+";
+    private static final char JOINING_SEPARATOR = '@';
 
     private TermRecordCodec() {}
 
@@ -63,7 +63,9 @@
 
     private static String encode(GroupMembership membership) {
         Stream<String> established = membership.established().stream().sorted().map(TermRecordCodec::escape);
-        Stream<String> joining = membership.joining().stream().sorted().map(name -> JOINING_PREFIX + escape(name));
+        Stream<String> joining = membership.joining().entrySet().stream()
+                .sorted(Map.Entry.comparingByKey())
+                .map(member -> escape(member.getKey()) + JOINING_SEPARATOR + member.getValue());
         return Stream.concat(established, joining).collect(Collectors.joining(String.valueOf(MEMBER_SEPARATOR)));
     }
 
@@ -73,11 +75,15 @@
 
     private static GroupMembership decodeMembership(String text) {
         Set<EndpointName> established = new HashSet<>();
-        Set<EndpointName> joining = new HashSet<>();
+        Map<EndpointName, Long> joining = new HashMap<>();
         for (String member : Splitter.on(MEMBER_SEPARATOR).split(text)) {
-            boolean isJoining = member.startsWith(JOINING_PREFIX);
-            String name = isJoining ? member.substring(JOINING_PREFIX.length()) : member;
-            (isJoining ? joining : established).add(EndpointName.of(URLDecoder.decode(name, StandardCharsets.UTF_8)));
+            List<String> parts = Splitter.on(JOINING_SEPARATOR).limit(2).splitToList(member);
+            EndpointName name = EndpointName.of(URLDecoder.decode(parts.get(0), StandardCharsets.UTF_8));
+            if (parts.size() > 1) {
+                joining.put(name, Long.parseLong(parts.get(1)));
+            } else {
+                established.add(name);
+            }
         }
         return new GroupMembership(established, joining);
     }
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/GroupMembershipTrackerTest.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/GroupMembershipTrackerTest.java
@@ -48,10 +48,10 @@
     }
 
     private Optional<GroupMembershipTracker.Change> next(GroupDirectory directory, Duration now) {
-        return tracker.next(record, directory, Duration.ZERO, now);
+        return tracker.next(record, 5, directory, Duration.ZERO, now);
     }
 
-    private void setMembership(Set<EndpointName> established, Set<EndpointName> joining) {
+    private void setMembership(Set<EndpointName> established, Map<EndpointName, Long> joining) {
         record = record.withMembership(GROUP, new GroupMembership(established, joining));
     }
 
@@ -64,13 +64,13 @@
             GroupMembershipTracker.Change change =
                     next(directory(false, PRIMARY, REPLICA), START).orElseThrow();
             assertThat(change.needsNewLease()).isTrue();
-            assertThat(change.membership()).isEqualTo(new GroupMembership(Set.of(PRIMARY), Set.of(REPLICA)));
+            assertThat(change.membership()).isEqualTo(new GroupMembership(Set.of(PRIMARY), Map.of(REPLICA, 5L)));
         }
 
         /** Guards against an endpoint that is established while a daemon that does not know it has valid members. */
         @Test
         void endsOnceTheEarlierLeasesAreRevokedForLongEnough() {
-            setMembership(Set.of(PRIMARY), Set.of(REPLICA));
+            setMembership(Set.of(PRIMARY), Map.of(REPLICA, 5L));
             record = record.withLease(8);
             GroupDirectory directory = directory(false, PRIMARY, REPLICA);
             assertThat(next(directory, START)).isEmpty();
@@ -86,6 +86,18 @@
                     .isEqualTo(GroupMembership.established(Set.of(PRIMARY, REPLICA)));
         }
 
+        /** Guards against a daemon that missed that an endpoint had left and counts its first joining. */
+        @Test
+        void beginsAnewWithEachJoining() {
+            GroupDirectory directory = directory(false, PRIMARY, REPLICA);
+            setMembership(Set.of(PRIMARY), Map.of(REPLICA, 5L));
+            next(directory, START);
+            Duration later = START.plus(TIMINGS.membershipExpiry());
+            setMembership(Set.of(PRIMARY), Map.of(REPLICA, 9L));
+            assertThat(next(directory, later)).isEmpty();
+            assertThat(next(directory, later.plus(TIMINGS.membershipExpiry()))).isPresent();
+        }
+
         @Test
         void isNotForEndpointsThatLeave() {
             assertThat(next(directory(true, PRIMARY, REPLICA), START)).isEmpty();
@@ -98,7 +110,7 @@
         /** Guards against a replica that cannot be promoted although it was away for a short time only. */
         @Test
         void happensLongAfterAMemberWasLost() {
-            setMembership(Set.of(PRIMARY, REPLICA), Set.of());
+            setMembership(Set.of(PRIMARY, REPLICA), Map.of());
             assertThat(next(directory(false, PRIMARY), START)).isEmpty();
             assertThat(next(
                             directory(false, PRIMARY),
@@ -113,7 +125,7 @@
         /** Guards against evidence that is missing because of an endpoint that left as planned. */
         @Test
         void happensAtOnceAfterAnAnnouncement() {
-            setMembership(Set.of(PRIMARY, REPLICA), Set.of());
+            setMembership(Set.of(PRIMARY, REPLICA), Map.of());
             assertThat(next(directory(true, PRIMARY, REPLICA), START)).isEmpty();
             assertThat(next(directory(false, PRIMARY), START.plusMillis(400))).isPresent();
         }
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SimulatedDaemon.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SimulatedDaemon.java
@@ -444,20 +444,23 @@
         if (!reachesStore() || record.group(SimulatedGroup.NAME).isEmpty()) {
             return;
         }
-        memberships.next(record, directory(), Duration.ZERO, clock()).ifPresent(change -> {
-            if (change.revokesLeases() && !record.leasesToRevoke().stream().allMatch(this::revoke)) {
-                return;
-            }
-            TermRecord changed = (change.revokesLeases()
-                            ? record.withoutRevokedLeases(record.leasesToRevoke())
-                            : record)
-                    .withMembership(SimulatedGroup.NAME, change.membership());
-            if (!change.needsNewLease() || !safeguards.has(Safeguard.LEASE_OF_JOINING)) {
-                write(changed);
-                return;
-            }
-            store.grantLease(TermLease.TIME_TO_LIVE).peek(lease -> write(changed.withLease(lease)));
-        });
+        memberships
+                .next(record, evidence.revision(), directory(), Duration.ZERO, clock())
+                .ifPresent(change -> {
+                    if (change.revokesLeases()
+                            && !record.leasesToRevoke().stream().allMatch(this::revoke)) {
+                        return;
+                    }
+                    TermRecord changed = (change.revokesLeases()
+                                    ? record.withoutRevokedLeases(record.leasesToRevoke())
+                                    : record)
+                            .withMembership(SimulatedGroup.NAME, change.membership());
+                    if (!change.needsNewLease() || !safeguards.has(Safeguard.LEASE_OF_JOINING)) {
+                        write(changed);
+                        return;
+                    }
+                    store.grantLease(TermLease.TIME_TO_LIVE).peek(lease -> write(changed.withLease(lease)));
+                });
     }
 
     private boolean revoke(long lease) {
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/TermRecordTest.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/TermRecordTest.java
@@ -48,12 +48,12 @@
         @Test
         void namesMembersInTheFormOfAGroup() {
             TermRecord withMembers = RECORD.withMembership(
-                    ORDERS, new GroupMembership(Set.of(FIRST, EndpointName.of("a,+b c")), Set.of(SECOND)));
+                    ORDERS, new GroupMembership(Set.of(FIRST, EndpointName.of("a,@b c")), Map.of(SECOND, 42L)));
             String text = TermRecordCodec.encode(withMembers);
             assertThat(TermRecordCodec.decode(text).get()).isEqualTo(withMembers);
             assertThat(text.lines().skip(1))
                     .allSatisfy(line -> assertThat(line.split(" ")).hasSize(5));
-            assertThat(text).contains("orders#members a%2C%2Bb+c,e1,+e2 0 CLOSING 0");
+            assertThat(text).contains("orders#members a%2C%40b+c,e1,e2@42 0 CLOSING 0");
         }
 
         @ParameterizedTest
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetReport.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetReport.java
@@ -57,7 +57,7 @@
             storeCache.members(group).values().stream()
                     .sorted(Comparator.comparing(EndpointEntry::name))
                     .forEach(endpoint -> lines.add("  " + describe(endpoint)
-                            + (terms.membership(group).joining().contains(endpoint.name()) ? "  joining" : "")));
+                            + (terms.membership(group).joining().containsKey(endpoint.name()) ? "  joining" : "")));
         }
         lines.add("daemons:");
         new TreeMap<>(LiveDaemons.decode(storeCache.entriesWithPrefix(LiveDaemons.PREFIX)))
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/GroupMembershipManager.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/GroupMembershipManager.java
@@ -43,7 +43,7 @@
             return;
         }
         trackers.computeIfAbsent(group, name -> GroupMembershipTracker.create(name, FailoverTimings.DEFAULTS))
-                .next(record, directory, turn, clock.now())
+                .next(record, installed.revision(), directory, turn, clock.now())
                 .ifPresent(change -> {
                     if (terms.changeMembership(group, change, record, installed.revision())) {
                         log(group, record.membership(group), change.membership());
@@ -60,7 +60,11 @@
         if (!after.equals(before)) {
             LOG.infof(
                     "[fleet] Members of %s: %s, joining %s; before: %s, joining %s.",
-                    group, after.established(), after.joining(), before.established(), before.joining());
+                    group,
+                    after.established(),
+                    after.joining().keySet(),
+                    before.established(),
+                    before.joining().keySet());
         }
     }
 }
