Move the upkeep of the term record out of the simulated daemon

The renewals, the recording of the group and the upkeep of its members are now in SimulatedTermUpkeep.

--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SimulatedDaemon.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SimulatedDaemon.java
@@ -15,9 +15,6 @@
 import org.lavenderwick.core.error.Failure;
 import org.lavenderwick.core.failover.UnanimousEvidence.TimedReport;
 import org.lavenderwick.core.model.EndpointName;
-import org.lavenderwick.core.store.EraRevision;
-import org.lavenderwick.core.store.StoreEntry;
-import org.lavenderwick.core.store.StoreWrite;
 import org.lavenderwick.core.time.Suspensions;
 
 /** A simulated daemon that gathers evidence, writes to the primary that it proves, and starts failovers at random. */
@@ -43,15 +40,13 @@
     private long suspendedUntil;
     private Duration suspendedFor = Duration.ZERO;
     private Duration evidenceDiscardedAt = Duration.ofSeconds(-1);
-    private Duration missingSince;
-    private long missingInEra;
     private FailoverRun run;
     private String violation = "";
     private boolean stopped;
     private int writesWithoutStore;
     private boolean distinguishesRestarts = true;
     private final Suspensions suspensions = Suspensions.create();
-    private final GroupMembershipTracker memberships;
+    private final SimulatedTermUpkeep terms;
     private List<SimulatedDaemon> fleet = List.of();
 
     SimulatedDaemon(
@@ -70,7 +65,7 @@
         this.domain = domain;
         this.links = new SimulatedLinks(group, network, domain);
         this.safeguards = safeguards;
-        this.memberships = GroupMembershipTracker.create(SimulatedGroup.NAME, safeguards.membershipTimings());
+        this.terms = new SimulatedTermUpkeep(this, simulation, random, store, evidence, safeguards);
     }
 
     String violation() {
@@ -92,7 +87,7 @@
         return writesWithoutStore;
     }
 
-    private boolean reachesStore() {
+    boolean reachesStore() {
         return storeReachable && network.reachesStore(domain);
     }
 
@@ -122,12 +117,12 @@
         }
     }
 
-    private Duration clock() {
+    Duration clock() {
         return Duration.ofMillis(simulation.now() - totalSuspendedMillis);
     }
 
     /** Runs an action now or, if the daemon is suspended, once it resumes. */
-    private void whenRunning(Runnable action) {
+    void whenRunning(Runnable action) {
         if (stopped) {
             return;
         }
@@ -149,14 +144,14 @@
     }
 
     void start() {
-        every(300, this::renew);
+        every(300, () -> terms.renew(missingChanges));
         every(250, this::requestConfirmation);
         every(400, this::requestReports);
         every(70, this::write);
         every(250, this::advance);
         readDirectory();
         every(200, this::readDirectory);
-        every(200, this::maintainMembership);
+        every(200, terms::maintainMembership);
     }
 
     private void every(long millis, Runnable action) {
@@ -168,40 +163,6 @@
                 }));
     }
 
-    private void renew() {
-        if (!reachesStore()) {
-            return;
-        }
-        if (!missingChanges && random.nextInt(3) == 0) {
-            store.read(TermRecord.KEY).peek(entry -> entry.ifPresent(this::install));
-        }
-        if (evidence.record().group(SimulatedGroup.NAME).isEmpty()) {
-            recordGroup();
-            return;
-        }
-        missingSince = null;
-        Duration sentAt = clock();
-        long era = evidence.record().era();
-        long leaseId = evidence.record().lease();
-        simulation.schedule(random.nextLong(200), () -> {
-            var response = store.renewLease(leaseId);
-            simulation.schedule(
-                    random.nextLong(200),
-                    () -> whenRunning(() -> {
-                        if (response.isRight()) {
-                            evidence.onRenewed(
-                                    leaseId,
-                                    safeguards.has(Safeguard.ERA)
-                                            ? response.get()
-                                            : evidence.record().era(),
-                                    sentAt);
-                        } else if (response.getLeft().kind() == ErrorKind.LEASE_EXPIRED) {
-                            replaceExpiredLease(era, leaseId);
-                        }
-                    }));
-        });
-    }
-
     /** Returns the time that a message between daemons takes; some connections stall. */
     private long messageMillis() {
         return random.nextLong(random.nextInt(5) == 0 ? 3000 : 200);
@@ -222,66 +183,6 @@
                                         safeguards.has(Safeguard.CONFIRMATION_DATE) ? requestedAt : clock())))))));
     }
 
-    private void install(StoreEntry entry) {
-        TermRecordCodec.decode(entry.value())
-                .map(record ->
-                        safeguards.has(Safeguard.ERA) ? record : inEra(record, EraRevision.era(entry.revision())))
-                .peek(record -> evidence.install(record, entry.revision()));
-    }
-
-    private static TermRecord inEra(TermRecord record, long era) {
-        return new TermRecord(era, record.lease(), record.leasesToRevoke(), record.groups(), record.memberships());
-    }
-
-    /** Adds the group to the record, in the first era with its first primary. */
-    private void recordGroup() {
-        long era = evidence.record().era();
-        missingSince = missingSince == null || missingInEra != era ? clock() : missingSince;
-        missingInEra = era;
-        Optional<GroupTerm> term = era == EraRevision.FIRST_ERA
-                ? Optional.of(GroupTerm.open(EndpointName.of("e1"), 1, 0))
-                : TermInheritance.termToRecord(
-                        era,
-                        evidence.inherited(SimulatedGroup.NAME),
-                        provenByEndpoints(),
-                        reportedByEndpoints(),
-                        missingSince,
-                        clock());
-        boolean read = store.read(TermRecord.KEY)
-                .peek(entry -> entry.ifPresent(this::install))
-                .isRight();
-        evidence.enterEra(store.era());
-        if (!read || term.isEmpty() || evidence.record().era() != era) {
-            return;
-        }
-        TermRecord record = evidence.record();
-        if (record.group(SimulatedGroup.NAME).isEmpty()) {
-            store.grantLease(TermLease.TIME_TO_LIVE)
-                    .peek(leaseId -> store.write(new StoreWrite(
-                            TermRecord.KEY,
-                            evidence.revision(),
-                            TermRecordCodec.encode(record.replacingExpiredLease(leaseId)
-                                    .adding(
-                                            SimulatedGroup.NAME,
-                                            term.get(),
-                                            evidence.inheritedMembership(SimulatedGroup.NAME),
-                                            directory.members())),
-                            StoreWrite.NO_LEASE)));
-        }
-    }
-
-    private void replaceExpiredLease(long era, long expired) {
-        store.read(TermRecord.KEY).peek(entry -> entry.ifPresent(this::install));
-        if (evidence.record().hasLease(era, expired)) {
-            store.grantLease(TermLease.TIME_TO_LIVE)
-                    .peek(leaseId -> store.write(new StoreWrite(
-                            TermRecord.KEY,
-                            evidence.revision(),
-                            TermRecordCodec.encode(evidence.record().replacingExpiredLease(leaseId)),
-                            0)));
-        }
-    }
-
     private void requestReports() {
         for (EndpointName name : directory.members()) {
             Duration sentAt = clock();
@@ -328,11 +229,11 @@
         return known;
     }
 
-    private Optional<ProvenPrimary> provenByEndpoints() {
+    Optional<ProvenPrimary> provenByEndpoints() {
         return UnanimousEvidence.evaluate(knownEndpoints(), reports);
     }
 
-    private Optional<ProvenPrimary> reportedByEndpoints() {
+    Optional<ProvenPrimary> reportedByEndpoints() {
         return UnanimousEvidence.evaluate(knownEndpoints(), newestReports);
     }
 
@@ -434,43 +335,13 @@
                 () -> whenRunning(() -> directory.replaceAll(content, syncReplicas, revision, clock())));
     }
 
-    private GroupDirectory directory() {
-        return directory.toGroupDirectory(distinguishesRestarts);
+    /** Returns the endpoints that this daemon knows to be registered. */
+    Set<EndpointName> registered() {
+        return directory.members();
     }
 
-    /** Maintains the members of the group in the term record. */
-    private void maintainMembership() {
-        TermRecord record = evidence.record();
-        if (!reachesStore() || record.group(SimulatedGroup.NAME).isEmpty()) {
-            return;
-        }
-        memberships
-                .next(record, evidence.revision(), directory(), Duration.ZERO, clock())
-                .ifPresent(change -> {
-                    if (change.revokesLeases()
-                            && !record.leasesToRevoke().stream().allMatch(this::revoke)) {
-                        return;
-                    }
-                    TermRecord changed = (change.revokesLeases()
-                                    ? record.withoutRevokedLeases(record.leasesToRevoke())
-                                    : record)
-                            .withMembership(SimulatedGroup.NAME, change.membership());
-                    if (!change.needsNewLease() || !safeguards.has(Safeguard.LEASE_OF_JOINING)) {
-                        write(changed);
-                        return;
-                    }
-                    store.grantLease(TermLease.TIME_TO_LIVE).peek(lease -> write(changed.withLease(lease)));
-                });
-    }
-
-    private boolean revoke(long lease) {
-        return store.revokeLease(lease).isRight();
-    }
-
-    private void write(TermRecord changed) {
-        long revision = evidence.revision();
-        store.write(new StoreWrite(TermRecord.KEY, revision, TermRecordCodec.encode(changed), StoreWrite.NO_LEASE))
-                .peek(written -> evidence.install(changed, written));
+    GroupDirectory directory() {
+        return directory.toGroupDirectory(distinguishesRestarts);
     }
 
     private void advance() {
