Show that a daemon which the store refuses alone goes on serving

The members of a group count for 10 s after the term record was last confirmed. A daemon whose renewals the store refuses must get later confirmations from another one, or it would stop serving although it reaches every endpoint and the rest of the fleet.

--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/GroupMembershipTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/GroupMembershipTest.java
@@ -123,6 +123,19 @@
             await(() -> write("during"));
         }
 
+        /** Guards against members that expire at a daemon that others keep in touch with the store. */
+        @Test
+        void continuesAtADaemonThatTheStoreRefusesForLong() throws Exception {
+            fleet.startDaemon();
+            fleet.refuseStoreCalls(isolated);
+            Thread.sleep(
+                    FailoverTimings.DEFAULTS.membershipMaxAge().plusSeconds(4).toMillis());
+            for (int number = 0; number < 20; number++) {
+                assertThat(write("refused-" + number)).isTrue();
+                Thread.sleep(100);
+            }
+        }
+
         @Test
         void continuesAtThePrimaryAloneWhileTheStoreIsInReach() throws Exception {
             lose("db-2");
