Make the seeds of the failover simulation repeatable again

Traced: the simulated directory returned its members as a Set.copyOf, whose order differs from one JVM to the next, and each member draws random numbers. So the same seed gave another simulation.

The members now have a fixed order. Two more changes keep the guards as easy to find as before the daemons had lists of their own: they are searched among the eight kinds of faults that they were found with, while the code with all guards is checked with these and with all 13 kinds; and a daemon without the store gets the content of another one in one of ten attempts, not in each, since it otherwise never had an old term record to prove anything by (with each attempt, dateOfConfirmations found nothing in 10,000 seeds).

--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/FailoverSafetyTest.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/FailoverSafetyTest.java
@@ -23,22 +23,36 @@
     private static final long SEEDS = Long.getLong("lavenderwick.failover.seeds", 10_000);
     private static final long BASE_SEED = Long.getLong("lavenderwick.failover.baseSeed", 20_261_204);
     private static final long DURATION_MILLIS = 30_000;
-    private static final int FAULTS = 18;
+
+    /**
+     * The faults of a simulation.
+     *
+     * @param kinds the number of kinds that are drawn from
+     * @param count the number of faults
+     */
+    private record Faults(int kinds, int count) {
+
+        /** Faults of daemons, of the store and of single endpoints. */
+        static final Faults SINGLE = new Faults(8, 12);
+
+        /** All of these, and faults that change which endpoints and daemons there are or that separate them. */
+        static final Faults ALL = new Faults(13, 18);
+    }
 
     /** The result of one simulation; the violation is empty if there was none. */
     private record Result(String violation, int promotions) {}
 
-    private static Result run(long seed, Safeguards safeguards) {
+    private static Result run(long seed, Safeguards safeguards, Faults faults) {
         SimulatedFleet fleet = new SimulatedFleet(seed, safeguards);
         fleet.start();
-        for (int fault = 0; fault < FAULTS; fault++) {
-            injectFault(fleet);
+        for (int number = 0; number < faults.count(); number++) {
+            injectFault(fleet, faults.kinds());
         }
         fleet.simulation().runUntil(DURATION_MILLIS);
         return new Result(fleet.violation(), fleet.group().promotions());
     }
 
-    private static void injectFault(SimulatedFleet fleet) {
+    private static void injectFault(SimulatedFleet fleet, int kinds) {
         Simulation simulation = fleet.simulation();
         Random random = fleet.random();
         SimulatedStore store = fleet.store();
@@ -48,7 +62,7 @@
         int domain = random.nextInt(SimulatedFleet.DAEMONS);
         EndpointName endpoint =
                 group.members().get(random.nextInt(group.members().size())).name();
-        switch (random.nextInt(13)) {
+        switch (random.nextInt(kinds)) {
             case 0 ->
                 fleet.applyTemporarily(
                         startMillis,
@@ -95,10 +109,10 @@
         }
     }
 
-    private static Optional<String> firstViolation(Safeguards safeguards) {
+    private static Optional<String> firstViolation(Safeguards safeguards, Faults faults) {
         return LongStream.range(BASE_SEED, BASE_SEED + SEEDS)
                 .parallel()
-                .mapToObj(seed -> seed + ": " + run(seed, safeguards).violation())
+                .mapToObj(seed -> seed + ": " + run(seed, safeguards, faults).violation())
                 .filter(text -> !text.endsWith(": "))
                 .findAny();
     }
@@ -108,13 +122,19 @@
 
         @Test
         void replacedPrimaryDoesNotServe() {
-            assertThat(firstViolation(Safeguards.all())).isEmpty();
+            assertThat(firstViolation(Safeguards.all(), Faults.SINGLE)).isEmpty();
+        }
+
+        /** Guards against members that daemons count although others have joined or replaced them. */
+        @Test
+        void replacedPrimaryDoesNotServeIfMembersChange() {
+            assertThat(firstViolation(Safeguards.all(), Faults.ALL)).isEmpty();
         }
 
         @Test
         void promotionsTakePlace() {
             long promotions = LongStream.range(BASE_SEED, BASE_SEED + 100)
-                    .mapToObj(seed -> run(seed, Safeguards.all()))
+                    .mapToObj(seed -> run(seed, Safeguards.all(), Faults.ALL))
                     .mapToLong(Result::promotions)
                     .sum();
             assertThat(promotions).isGreaterThan(100);
@@ -125,7 +145,7 @@
     class WithoutOneSafeguard {
 
         private void assertUnsafe(Safeguards safeguards) {
-            assertThat(firstViolation(safeguards)).isPresent();
+            assertThat(firstViolation(safeguards, Faults.SINGLE)).isPresent();
         }
 
         @Test
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SimulatedDaemon.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SimulatedDaemon.java
@@ -22,6 +22,9 @@
 
     private static final int REPLICATION_POLLS = 10;
 
+    /** Mean number of attempts until a daemon without the store gets the content of another one. */
+    private static final int FEED_ATTEMPTS = 10;
+
     private final Simulation simulation;
     private final RandomGenerator random;
     private final SimulatedStore store;
@@ -318,10 +321,10 @@
             return;
         }
         if (!reachesStore()) {
-            peer().ifPresent(other -> {
-                directory.followFeed(other.directory, clock());
-                evidence.install(other.evidence.record(), other.evidence.revision());
-            });
+            // Other daemons may be slow to pass changes on, or not have them either.
+            if (random.nextInt(FEED_ATTEMPTS) == 0) {
+                peer().ifPresent(this::followFeed);
+            }
             directory.removeExpired(clock());
             return;
         }
@@ -335,6 +338,11 @@
                 () -> whenRunning(() -> directory.replaceAll(content, syncReplicas, revision, clock())));
     }
 
+    private void followFeed(SimulatedDaemon other) {
+        directory.followFeed(other.directory, clock());
+        evidence.install(other.evidence.record(), other.evidence.revision());
+    }
+
     /** Returns the endpoints that this daemon knows to be registered. */
     Set<EndpointName> registered() {
         return directory.members();
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SimulatedDirectory.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SimulatedDirectory.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 
 import org.lavenderwick.core.catalog.EndpointEntry;
 import org.lavenderwick.core.model.EndpointName;
@@ -61,8 +62,9 @@
         });
     }
 
+    /** Returns the endpoints in a fixed order, so that a seed always gives the same simulation. */
     Set<EndpointName> members() {
-        return Set.copyOf(endpoints.keySet());
+        return new TreeSet<>(endpoints.keySet());
     }
 
     Map<EndpointName, EndpointEntry> entries() {
