--- a/review/src-2/review2/Group.java
+++ b/review/src-2/review2/Group.java
@@ -53,6 +53,7 @@
     private final List<Server> servers = new ArrayList<>();
     private final Map<String, Run> runs = new ConcurrentHashMap<>();
     private final AtomicLong digests = new AtomicLong();
+    private volatile long statusMillis;
 
     /** Starts the servers and registers them. The work of a statement is drawn from a log-normal distribution. */
     Group(String service, int slots, int maxConnections, double workMillis, double workSpread, double workMaxMillis,
@@ -101,6 +102,11 @@
         return servers.stream().filter(server -> !server.dead).map(server -> server.id).toList();
     }
 
+    /** Sets how long a status request waits until a slot is free. */
+    void statusWaits(long millis) {
+        statusMillis = millis;
+    }
+
     /** Lets a server announce that it is going to leave. */
     void drain(String id) {
         Server server = server(id);
@@ -386,7 +392,10 @@
             }
         }
 
-        private void control(String[] words) throws IOException {
+        private void control(String[] words) throws IOException, InterruptedException {
+            if (words[0].equals("STATUS")) {
+                Thread.sleep(statusMillis);
+            }
             String row;
             synchronized (Group.this) {
                 if (words[0].equals("PAUSE") && !server.primary && Long.parseLong(words[1]) > server.term) {
