--- a/review/src-2/review2/Group.java
+++ b/review/src-2/review2/Group.java
@@ -13,11 +13,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.IntFunction;
 import org.lavenderwick.platform.standin.StoreStandin;
 
 /**
@@ -54,6 +55,17 @@
     private final Map<String, Run> runs = new ConcurrentHashMap<>();
     private final AtomicLong digests = new AtomicLong();
     private volatile long statusMillis;
+    private volatile IntFunction<String> clients = port -> "";
+    private volatile String cutServer = "";
+    private volatile String cutClient = "";
+    private final List<Commit> commits = new CopyOnWriteArrayList<>();
+    private final List<Lead> leads = new CopyOnWriteArrayList<>();
+
+    /** A commit with a client's statement that asked for it. */
+    record Commit(String id, String server, long term, double at) {}
+
+    /** The moment at which a promotion took effect. */
+    record Lead(String server, long term, double at) {}
 
     /** Starts the servers and registers them. The work of a statement is drawn from a log-normal distribution. */
     Group(String service, int slots, int maxConnections, double workMillis, double workSpread, double workMaxMillis,
@@ -102,6 +114,49 @@
         return servers.stream().filter(server -> !server.dead).map(server -> server.id).toList();
     }
 
+    /** Returns the commits of all servers. */
+    List<Commit> commits() {
+        return commits;
+    }
+
+    /** Returns the promotions that have taken effect. */
+    List<Lead> leads() {
+        return leads;
+    }
+
+    /** Sets how to tell whose connection it is from its remote port. */
+    void identifyClientsWith(IntFunction<String> names) {
+        clients = names;
+    }
+
+    /** Partitions a server from the other servers and from one client, whose connections are reset. */
+    void cut(String id, String client) {
+        cutClient = client;
+        cutServer = id;
+        record.line("%s is partitioned from the other servers and from %s", id, client);
+        server(id).reset(client);
+    }
+
+    /** Ends the partition; a former primary finds the new one within a second. */
+    void heal() {
+        String id = cutServer;
+        cutServer = "";
+        record.line("the partition of %s has ended", id);
+        sleep(1000);
+        Server healed = server(id);
+        synchronized (this) {
+            leader().filter(leader -> leader.term > healed.term).ifPresent(leader -> {
+                healed.primary = false;
+                healed.follow(leader);
+            });
+        }
+        healed.register();
+    }
+
+    private boolean connects(Server one, Server other) {
+        return !one.id.equals(cutServer) && !other.id.equals(cutServer);
+    }
+
     /** Sets how long a status request waits until a slot is free. */
     void statusWaits(long millis) {
         statusMillis = millis;
@@ -151,10 +206,11 @@
             server.primary = true;
             server.held = 0;
             for (Server each : servers) {
-                if (!each.primary && !each.dead) {
+                if (!each.primary && !each.dead && connects(each, server)) {
                     each.follow(server);
                 }
             }
+            leads.add(new Lead(server.id, server.term, record.now()));
             record.line("%s leads term %d", server.id, server.term);
         }
         server.register();
@@ -162,7 +218,8 @@
         List<Server> former = new ArrayList<>();
         synchronized (this) {
             servers.stream()
-                    .filter(each -> each != server && each.primary && !each.dead && each.term < server.term)
+                    .filter(each -> each != server && each.primary && !each.dead && each.term < server.term
+                            && connects(each, server))
                     .forEach(former::add);
             former.forEach(each -> {
                 each.primary = false;
@@ -209,7 +266,7 @@
         private long number;
         private final ServerSocket listening;
         private final Semaphore free = new Semaphore(slots, true);
-        private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+        private final Map<Socket, String> sockets = new ConcurrentHashMap<>();
         private final long born = System.currentTimeMillis();
         private final AtomicLong registrations = new AtomicLong();
 
@@ -239,7 +296,8 @@
             number++;
             writes.forEach(write -> items.put(write[0], write[1]));
             servers.stream()
-                    .filter(each -> each != this && !each.dead && !each.primary && each.held <= term && each.term <= term)
+                    .filter(each -> each != this && !each.dead && !each.primary && each.held <= term && each.term <= term
+                            && connects(each, this))
                     .forEach(each -> each.follow(this));
         }
 
@@ -259,7 +317,12 @@
                 while (true) {
                     Socket socket = listening.accept();
                     socket.setTcpNoDelay(true);
-                    sockets.add(socket);
+                    String client = clients.apply(socket.getPort());
+                    if (id.equals(cutServer) && client.equals(cutClient)) {
+                        socket.close();
+                        continue;
+                    }
+                    sockets.put(socket, client);
                     start(() -> serve(socket));
                 }
             } catch (IOException e) {
@@ -281,10 +344,22 @@
             }
         }
 
+        void reset(String client) {
+            sockets.forEach((socket, name) -> {
+                try {
+                    if (name.equals(client)) {
+                        socket.close();
+                    }
+                } catch (IOException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+        }
+
         void close() {
             try {
                 listening.close();
-                for (Socket socket : sockets) {
+                for (Socket socket : sockets.keySet()) {
                     socket.close();
                 }
             } catch (IOException e) {
@@ -467,6 +542,15 @@
                 }
                 if (kind.equals("COMMIT") || state == 'I') {
                     state = 'I';
+                    if (!writes.isEmpty()) {
+                        if (!server.primary) {
+                            writes.clear();
+                            error("READONLY");
+                            return;
+                        }
+                        commits.add(new Commit(id, server.id, server.term, record.now()));
+                        record.line("%s commits %s in term %d", server.id, id, server.term);
+                    }
                     server.commit(writes);
                     writes.clear();
                 }
