Collect promises above every term that a promotion request may begin

Cause: a promise ends the evidence only for primaries of earlier terms, and its term was one above the newest reported term. A request that was sent may have begun that very term at an endpoint that the failover cannot reach; daemons that reach it prove it although a member has promised. The [evidence] lines of two daemons show that proof 3.6 s after the request.

The term record now has the highest term that the requests sent so far may begin. It is written before each request, with the candidate; a repeated request costs one write more. If a request may have begun a term, promises are for a later one, all members have to promise, the demotion of the old primary is no substitute, and only the candidate of the last request is taken for the new primary.

The line of the record has the form of a group, as that of the members, so that daemons of earlier versions keep it.

Evidence: FailoverSafetyTest now cuts new primaries off around the moment of their promotion.

--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/FailoverRun.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/FailoverRun.java
@@ -2,17 +2,13 @@
 
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Supplier;
-import java.util.function.UnaryOperator;
 
 import com.google.common.collect.Comparators;
 import io.vavr.control.Either;
 import org.lavenderwick.core.catalog.EndpointEntry;
-import org.lavenderwick.core.catalog.EndpointRole;
 import org.lavenderwick.core.error.Failure;
 import org.lavenderwick.core.model.EndpointName;
 import org.lavenderwick.core.model.GroupName;
@@ -37,8 +33,7 @@
  */
 public final class FailoverRun {
 
-    /** Status polls without a confirmed promotion after which the promotion is requested again. */
-    private static final int POLLS_PER_PROMOTION_REQUEST = 20;
+    private static final String RECORD_CHANGED = "another daemon changed the term record";
 
     private final GroupName group;
     private final Supplier<GroupDirectory> directory;
@@ -53,20 +48,19 @@
     private final SyncRequirements requirements;
     private final SyncPromiseCollector syncPromises;
     private final CandidateEligibility eligibility;
+    private final PromotionRequests requests;
+    private final CandidateMonitor monitor;
     private PromiseRound promises;
     private FailoverStep step = FailoverStep.ACQUIRE_LOCK;
     private FailoverOutcome outcome = FailoverOutcome.RUNNING;
     private long term;
     private long closedRevision;
     private boolean isTakeover;
-    private final Set<EndpointName> refusedCandidates = new HashSet<>();
     private Duration promisesStartedAt;
     private Duration promisedAt;
     private Duration evidenceExpiredAt;
     private EndpointName candidate;
     private EndpointReport chosenReport;
-    private EndpointName earlierCandidate;
-    private int statusPolls;
     private String cause = "";
 
     /**
@@ -75,6 +69,7 @@
      * @param directory returns what the daemon knows of the group at present; its members include the suspect unless
      *     that is known to be gone
      * @param suspect the primary to replace; the run ends if the term record names another primary
+     * @param requests the promotion requests of this failover, none so far
      */
     public FailoverRun(
             GroupName group,
@@ -83,6 +78,7 @@
             FleetStore store,
             EndpointControl endpoints,
             PromotionPort promotions,
+            PromotionRequests requests,
             FailoverTimings timings) {
         this.group = group;
         this.directory = directory;
@@ -97,6 +93,8 @@
         this.requirements = new SyncRequirements(
                 group, store, directory, timings.retryDelay().multipliedBy(2));
         this.syncPromises = new SyncPromiseCollector(timings);
+        this.requests = requests;
+        this.monitor = new CandidateMonitor(endpoints);
         this.eligibility = new CandidateEligibility(timings, terms);
         this.promises = PromiseRound.of(this.members, suspect, endpoints);
     }
@@ -179,12 +177,9 @@
         }
         term = found.term();
         isTakeover |= found.phase() != TermPhase.OPEN && found.fencingToken() != lock.fencingToken();
-        requirements.replacing(term, Optional.of(found.primary()).filter(name -> found.phase() != TermPhase.PROMOTING));
-        if (found.phase() == TermPhase.PROMOTING) {
-            // An earlier run chose a candidate, which may have been promoted or may still be.
-            earlierCandidate = found.primary();
-            promises = PromiseRound.withoutPrimary(members, endpoints);
-        }
+        requests.continueAfter(found);
+        requirements.replacing(term, Optional.of(found.primary()).filter(name -> !requests.mayHaveBegunTerm()));
+        promises = promises.restarted(requests);
         Either<Failure, Long> closed = terms.close(found);
         if (closed.isLeft()) {
             return retry(closed.getLeft());
@@ -201,8 +196,7 @@
 
     /** Skips to the confirmation if the candidate of an earlier run, if any is recorded, already leads a later term. */
     private Duration checkCandidate() {
-        candidate = promises.settledPrimary(term)
-                .filter(name -> earlierCandidate == null || name.equals(earlierCandidate))
+        candidate = promises.primaryOfNewestTerm(promises.requestReports(), requests)
                 .orElse(null);
         return next(candidate == null ? FailoverStep.REQUEST_PROMISES : FailoverStep.CONFIRM);
     }
@@ -248,7 +242,7 @@
 
     /** Begins a round that demotes the old primary, which only the requirement may name. */
     private void preparePromises(SyncRequirement before, SyncRequirement requirement) {
-        if (requirement.isSynchronous() && !before.isSynchronous()) {
+        if (requirement.isSynchronous() && !before.isSynchronous() && !requests.mayHaveBegunTerm()) {
             requirement.oldPrimary().ifPresent(name -> promises = PromiseRound.of(members, name, endpoints));
         } else if (!requirement.isSynchronous()) {
             syncPromises.stopWaiting();
@@ -270,7 +264,10 @@
         Map<EndpointName, EndpointReport> reports = promises.requestReports();
         Optional<EndpointName> leading = promises.primaryOfLaterTerm(reports, term);
         if (leading.isPresent()) {
-            return recordCandidate(leading.get(), reports);
+            boolean isNewest = promises.primaryOfNewestTerm(reports, requests).equals(leading);
+            return isNewest || !requests.mayHaveBegunTerm()
+                    ? recordCandidate(leading.get(), reports)
+                    : restartPromises(now);
         }
         SyncRequirement before = requirements.latest();
         Either<Failure, SyncRequirement> current = requirements.confirm(closedRevision, now);
@@ -286,9 +283,9 @@
         CandidatePolicy.Decision decision = policy.choose(new CandidatePolicy.Situation(
                 promises,
                 reports,
-                Optional.ofNullable(earlierCandidate),
+                requests.candidateOfEarlierRun(),
                 eligibility.eligible(promises, reports, now),
-                Set.copyOf(refusedCandidates),
+                requests.refusedCandidates(),
                 now.minus(evidenceExpiredAt),
                 now));
         cause = decision.cause();
@@ -300,7 +297,7 @@
             case PROMOTE -> recordCandidate(decision.candidate().orElseThrow(), reports);
             case POLL -> timings.catchUpPollDelay();
             case RETRY -> {
-                refusedCandidates.clear();
+                requests.forgetRefusals();
                 yield timings.retryDelay();
             }
             case RESTART -> restartPromises(now);
@@ -310,26 +307,28 @@
     private Duration recordCandidate(EndpointName chosen, Map<EndpointName, EndpointReport> reports) {
         candidate = chosen;
         chosenReport = reports.get(chosen);
-        return writeIfUnchanged(
-                found -> found.withPhase(TermPhase.PROMOTING, chosen, lock.fencingToken()), FailoverStep.PROMOTE);
+        return recordRequest();
     }
 
-    private Duration writeIfUnchanged(UnaryOperator<GroupTerm> change, FailoverStep nextStep) {
-        return terms.change(change)
-                .fold(
-                        this::retry,
-                        unchanged -> unchanged
-                                ? next(nextStep)
-                                : finish(FailoverOutcome.GIVEN_UP, "another daemon changed the term record"));
+    /** Records the candidate and the term that its promotion may begin, before the promotion is requested. */
+    private Duration recordRequest() {
+        long nextTerm = requests.nextTerm(promises.promisedTerm());
+        return terms.recordRequest(candidate, nextTerm).fold(this::retry, recorded -> {
+            requests.onRecorded(candidate, nextTerm);
+            return recorded ? next(FailoverStep.PROMOTE) : finish(FailoverOutcome.GIVEN_UP, RECORD_CHANGED);
+        });
     }
 
-    /** Restarts the collection of promises, because an endpoint forgets its promise when it restarts. */
+    /**
+     * Restarts the collection of promises, because an endpoint forgets its promise when it restarts. If the latest
+     * candidate leads by now, no promises are needed.
+     */
     private Duration restartPromises(Duration now) {
-        promises.clear();
+        promises = promises.restarted(requests);
         requirements.expire();
         promisedAt = null;
         promisesStartedAt = now;
-        step = FailoverStep.REQUEST_PROMISES;
+        step = requests.mayHaveBegunTerm() ? FailoverStep.CHECK_CANDIDATE : FailoverStep.REQUEST_PROMISES;
         return timings.retryDelay();
     }
 
@@ -339,7 +338,11 @@
                 || (requirements.latest().isSynchronous() && !promises.hasKeptLog(candidate, chosenReport))) {
             return restartPromises(now);
         }
+        if (!requests.isNextRecorded()) {
+            return recordRequest();
+        }
         Either<Failure, PromotionAnswer> response = promotions.promote(group, candidate, lock.fencingToken());
+        requests.onAnswer(response);
         if (response.isLeft()) {
             // The promotion may take effect all the same, so the candidate stays until its state is known.
             cause = response.getLeft().detail();
@@ -350,33 +353,30 @@
             case BUSY -> timings.retryDelay();
             case REFUSED -> {
                 // An earlier request may still take effect once the candidate is back; the new promises reveal that.
-                refusedCandidates.add(candidate);
                 yield restartPromises(now);
             }
         };
     }
 
     private Duration confirm() {
-        Either<Failure, EndpointReport> report = endpoints.status(members.get(candidate));
-        if (report.isRight()
-                && report.get().role() == EndpointRole.PRIMARY
-                && report.get().term() >= term) {
-            term = report.get().term();
+        Optional<EndpointReport> leading = monitor.poll(members.get(candidate), requests.lowestConfirmingTerm());
+        if (leading.isPresent()) {
+            term = leading.get().term();
             return next(FailoverStep.OPEN_TERM);
         }
-        if (++statusPolls % POLLS_PER_PROMOTION_REQUEST == 0) {
+        if (monitor.isRequestDue()) {
             step = FailoverStep.PROMOTE;
         }
         return timings.retryDelay().dividedBy(2);
     }
 
     private Duration openTerm() {
-        Duration pause =
-                writeIfUnchanged(found -> GroupTerm.open(candidate, term, lock.fencingToken()), FailoverStep.FINISHED);
-        if (step == FailoverStep.FINISHED && outcome == FailoverOutcome.RUNNING) {
-            finish(FailoverOutcome.DONE, "");
-        }
-        return pause;
+        return terms.open(candidate, term)
+                .fold(
+                        this::retry,
+                        opened -> opened
+                                ? finish(FailoverOutcome.DONE, "")
+                                : finish(FailoverOutcome.GIVEN_UP, RECORD_CHANGED));
     }
 
     private Duration next(FailoverStep nextStep) {
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/GroupTerm.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/GroupTerm.java
@@ -10,8 +10,16 @@
  * @param phase the progress of a failover
  * @param fencingToken the fencing token of the failover that wrote this state; if none did, a number below the tokens
  *     of the store's era
+ * @param highestRequestedTerm the highest term that a promotion request sent since may begin; {@code term} if none is
+ *     known
  */
-public record GroupTerm(EndpointName primary, long term, TermPhase phase, long fencingToken) {
+public record GroupTerm(
+        EndpointName primary, long term, TermPhase phase, long fencingToken, long highestRequestedTerm) {
+
+    /** Creates a term since which no promotion request is known. */
+    public GroupTerm(EndpointName primary, long term, TermPhase phase, long fencingToken) {
+        this(primary, term, phase, fencingToken, term);
+    }
 
     /** Returns a term in phase {@link TermPhase#OPEN}. */
     public static GroupTerm open(EndpointName primary, long term, long fencingToken) {
@@ -20,14 +28,22 @@
 
     /** Returns this term in another phase, with the fencing token of the failover that writes it. */
     public GroupTerm withPhase(TermPhase newPhase, EndpointName primaryOrCandidate, long newFencingToken) {
-        return new GroupTerm(primaryOrCandidate, term, newPhase, newFencingToken);
+        return new GroupTerm(primaryOrCandidate, term, newPhase, newFencingToken, highestRequestedTerm);
+    }
+
+    /** Returns this term with promotion requests that may begin terms up to the given one. */
+    public GroupTerm withRequestedTerm(long requestedTerm) {
+        return new GroupTerm(primary, term, phase, fencingToken, Math.max(highestRequestedTerm, requestedTerm));
     }
 
     /** Returns whether this state was written after another one of the same group. */
     boolean isLaterThan(GroupTerm other) {
-        return fencingToken != other.fencingToken
-                ? fencingToken > other.fencingToken
-                : phase.progress() > other.phase().progress();
+        if (fencingToken != other.fencingToken) {
+            return fencingToken > other.fencingToken;
+        }
+        return phase != other.phase
+                ? phase.progress() > other.phase.progress()
+                : highestRequestedTerm > other.highestRequestedTerm;
     }
 
     // Written out for the reason given at GroupName.
@@ -37,7 +53,8 @@
                 && that.primary.equals(primary)
                 && that.term == term
                 && that.phase.equals(phase)
-                && that.fencingToken == fencingToken;
+                && that.fencingToken == fencingToken
+                && that.highestRequestedTerm == highestRequestedTerm;
     }
 
     @Override
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/PromiseRound.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/PromiseRound.java
@@ -24,32 +24,38 @@
     private final Map<EndpointName, EndpointEntry> members;
     private final Optional<EndpointName> oldPrimary;
     private final EndpointControl endpoints;
+    private final long highestRequestedTerm;
     private final Map<EndpointName, Promise> promises = new HashMap<>();
     private long promisedTerm;
     private long closedTerm;
     private String cause = "";
 
     private PromiseRound(
-            Map<EndpointName, EndpointEntry> members, Optional<EndpointName> oldPrimary, EndpointControl endpoints) {
+            Map<EndpointName, EndpointEntry> members,
+            Optional<EndpointName> oldPrimary,
+            EndpointControl endpoints,
+            long highestRequestedTerm) {
         this.members = members;
         this.oldPrimary = oldPrimary;
         this.endpoints = endpoints;
+        this.highestRequestedTerm = highestRequestedTerm;
     }
 
     /** Returns a round that first tries to demote the given old primary. */
     static PromiseRound of(
             Map<EndpointName, EndpointEntry> members, EndpointName oldPrimary, EndpointControl endpoints) {
-        return new PromiseRound(members, Optional.of(oldPrimary), endpoints);
+        return new PromiseRound(members, Optional.of(oldPrimary), endpoints, 0);
     }
 
-    /** Returns a round for a group whose old primary is unknown. */
-    static PromiseRound withoutPrimary(Map<EndpointName, EndpointEntry> members, EndpointControl endpoints) {
-        return new PromiseRound(members, Optional.empty(), endpoints);
-    }
-
-    /** Discards all promises. */
-    void clear() {
-        promises.clear();
+    /**
+     * Returns a round without promises. The old primary stays the same unless an endpoint that does not respond may
+     * have been promoted: to demote the old primary does not end the evidence for that one. Then all members have to
+     * promise, for a later term than any that may have begun, and those that lead are demoted in addition.
+     */
+    PromiseRound restarted(PromotionRequests requests) {
+        return requests.mayHaveBegunTerm()
+                ? new PromiseRound(members, Optional.empty(), endpoints, requests.highestTerm())
+                : new PromiseRound(members, oldPrimary, endpoints, 0);
     }
 
     /**
@@ -93,10 +99,15 @@
 
     private void chooseTerm(long term, Map<EndpointName, EndpointReport> reports) {
         if (promises.isEmpty()) {
-            promisedTerm = Math.max(term, newestTerm(reports)) + 1;
+            promisedTerm = Math.max(Math.max(term, highestRequestedTerm), newestTerm(reports)) + 1;
         }
     }
 
+    /** Returns the term for which the endpoints promise. */
+    long promisedTerm() {
+        return promisedTerm;
+    }
+
     private boolean demote(EndpointName name, Duration now) {
         return requestPromise(name, member -> endpoints.stepDown(member, promisedTerm), now);
     }
@@ -105,7 +116,7 @@
     boolean pauseReplicas(Duration now) {
         for (EndpointName name : members.keySet()) {
             if (!isOldPrimary(name)) {
-                requestPromise(name, member -> endpoints.pauseReplication(member, promisedTerm), now);
+                requestPromise(name, this::pause, now);
             }
         }
         long expected =
@@ -113,6 +124,20 @@
         return expected > 0 && promises.size() >= expected;
     }
 
+    private Either<Failure, EndpointReport> pause(EndpointEntry member) {
+        Either<Failure, EndpointReport> paused = endpoints.pauseReplication(member, promisedTerm);
+        boolean leads = paused.isRight() && paused.get().role() == EndpointRole.PRIMARY;
+        return leads && isAfterRequests()
+                ? endpoints
+                        .stepDown(member, promisedTerm)
+                        .flatMap(demoted -> endpoints.pauseReplication(member, promisedTerm))
+                : paused;
+    }
+
+    private boolean isAfterRequests() {
+        return highestRequestedTerm > 0;
+    }
+
     private static boolean isReplica(EndpointName name, Map<EndpointName, EndpointReport> reports) {
         EndpointReport report = reports.get(name);
         return report != null && report.role() == EndpointRole.REPLICA;
@@ -198,7 +223,9 @@
     boolean mayPromote(EndpointName candidate, Map<EndpointName, EndpointReport> reports) {
         boolean demoted = isOldPrimaryReplica(reports);
         EndpointReport report = reports.get(candidate);
-        boolean hasPromise = report != null && report.promisedTerm() >= promisedTerm;
+        boolean hasPromise = report != null
+                && report.promisedTerm() >= promisedTerm
+                && (report.role() == EndpointRole.REPLICA || !isAfterRequests());
         return newestTerm(reports) < promisedTerm && (demoted || hasPromise);
     }
 
@@ -224,14 +251,17 @@
     }
 
     /**
-     * Returns the endpoint that leads a term above the given one, if no endpoint that responds knows a later term or
-     * has given a promise for one. It was promoted by a failover that the term record does not show. Promises are not
-     * needed then, and would keep the replicas from receiving its log.
+     * Returns the endpoint that leads a later term than the closed one, if no other endpoint can lead a newer one: no
+     * endpoint that responds knows a later term or has given a promise for one, and the endpoint is the latest
+     * candidate or all endpoints respond. Promises are not needed then, and would keep the replicas from receiving its
+     * log.
      */
-    Optional<EndpointName> settledPrimary(long term) {
-        Map<EndpointName, EndpointReport> reports = requestReports();
-        return primaryOfLaterTerm(reports, term)
+    Optional<EndpointName> primaryOfNewestTerm(Map<EndpointName, EndpointReport> reports, PromotionRequests requests) {
+        boolean mayBeAny = requests.isLatestKnown() || reports.keySet().containsAll(members.keySet());
+        return primaryOfLaterTerm(reports, requests.closedTerm())
                 .filter(name -> reports.get(name).leads())
+                .filter(name -> requests.latestCandidate().stream().allMatch(name::equals))
+                .filter(name -> mayBeAny)
                 .filter(name -> reports.values().stream()
                         .allMatch(report -> Math.max(report.term(), report.promisedTerm())
                                 <= reports.get(name).term()));
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/TermInheritance.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/TermInheritance.java
@@ -54,10 +54,12 @@
         if (now.minus(since).compareTo(proofExpected ? AGEING_PERIOD : PROOF_PERIOD) < 0) {
             return Optional.empty();
         }
+        // The copy may not show the last promotions that were requested.
         return inherited.map(term -> term.withPhase(
-                term.phase() == TermPhase.PROMOTING ? TermPhase.PROMOTING : TermPhase.CLOSING,
-                term.primary(),
-                fencingToken));
+                        term.phase() == TermPhase.PROMOTING ? TermPhase.PROMOTING : TermPhase.CLOSING,
+                        term.primary(),
+                        fencingToken)
+                .withRequestedTerm(term.highestRequestedTerm() + PromotionRequests.UNRECORDED_REQUESTS));
     }
 
     private static boolean mayContinue(ProvenPrimary found, Optional<GroupTerm> inherited, Duration since) {
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/TermRecordCodec.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/TermRecordCodec.java
@@ -27,7 +27,8 @@
  *
  * <p>The membership of a group is on a line of its own, which names the group with a suffix, the members in place of
  * the primary, each joining one with its number, and a term that is never open. Daemons of earlier versions take it
- * for a group that no configuration contains, and keep it when they change the record.
+ * for a group that no configuration contains, and keep it when they change the record. The highest requested term of a
+ * group whose term is not open is on such a line, too, in place of the term. It is ignored once the term is open.
  */
 public final class TermRecordCodec {
 
@@ -35,6 +36,7 @@
     private static final String ERA_PREFIX = "era ";
     private static final int GROUP_FIELDS = 5;
     private static final String MEMBERS_SUFFIX = "#members";
+    private static final String REQUESTED_SUFFIX = "#requested";
     private static final char MEMBER_SEPARATOR = ',';
     private static final char JOINING_SEPARATOR = '@';
 
@@ -47,10 +49,20 @@
         if (record.era() != EraRevision.FIRST_ERA) {
             text.append('\n').append(ERA_PREFIX).append(record.era());
         }
-        record.groups()
-                .forEach((name, term) -> text.append('\n')
+        record.groups().forEach((name, term) -> {
+            text.append('\n')
+                    .append(Joiner.on(' ').join(name, term.primary(), term.term(), term.phase(), term.fencingToken()));
+            if (term.phase() != TermPhase.OPEN && term.highestRequestedTerm() > term.term()) {
+                text.append('\n')
                         .append(Joiner.on(' ')
-                                .join(name, term.primary(), term.term(), term.phase(), term.fencingToken())));
+                                .join(
+                                        name + REQUESTED_SUFFIX,
+                                        term.primary(),
+                                        term.highestRequestedTerm(),
+                                        TermPhase.CLOSING,
+                                        0));
+            }
+        });
         record.memberships().forEach((name, membership) -> {
             if (!membership.isEmpty()) {
                 text.append('\n')
@@ -88,6 +100,10 @@
         return new GroupMembership(established, joining);
     }
 
+    private static GroupName groupBefore(String suffix, String field) {
+        return GroupName.of(field.substring(0, field.length() - suffix.length()));
+    }
+
     /** Parses the text form of a record. Fails with {@code MALFORMED_REQUEST} if the text is invalid. */
     public static Either<Failure, TermRecord> decode(String text) {
         try {
@@ -98,6 +114,7 @@
             }
             Map<GroupName, GroupTerm> groups = new HashMap<>();
             Map<GroupName, GroupMembership> memberships = new HashMap<>();
+            Map<GroupName, Long> requestedTerms = new HashMap<>();
             long era = EraRevision.FIRST_ERA;
             for (String line : lines.subList(1, lines.size())) {
                 if (line.startsWith(ERA_PREFIX)) {
@@ -109,8 +126,11 @@
                     return malformed();
                 }
                 if (fields.get(0).endsWith(MEMBERS_SUFFIX)) {
-                    String name = fields.get(0).substring(0, fields.get(0).length() - MEMBERS_SUFFIX.length());
-                    memberships.put(GroupName.of(name), decodeMembership(fields.get(1)));
+                    memberships.put(groupBefore(MEMBERS_SUFFIX, fields.get(0)), decodeMembership(fields.get(1)));
+                    continue;
+                }
+                if (fields.get(0).endsWith(REQUESTED_SUFFIX)) {
+                    requestedTerms.put(groupBefore(REQUESTED_SUFFIX, fields.get(0)), Long.parseLong(fields.get(2)));
                     continue;
                 }
                 GroupTerm term = new GroupTerm(
@@ -120,6 +140,9 @@
                         Long.parseLong(fields.get(4)));
                 groups.put(GroupName.of(fields.get(0)), term);
             }
+            groups.replaceAll((name, term) -> term.phase() == TermPhase.OPEN
+                    ? term
+                    : term.withRequestedTerm(requestedTerms.getOrDefault(name, term.term())));
             Set<Long> toRevoke = new HashSet<>();
             head.subList(2, head.size()).forEach(lease -> toRevoke.add(Long.parseLong(lease)));
             return Either.right(new TermRecord(era, Long.parseLong(head.get(1)), toRevoke, groups, memberships));
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/TermRecordEditor.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/TermRecordEditor.java
@@ -6,6 +6,7 @@
 
 import io.vavr.control.Either;
 import org.lavenderwick.core.error.Failure;
+import org.lavenderwick.core.model.EndpointName;
 import org.lavenderwick.core.model.GroupName;
 import org.lavenderwick.core.store.FleetStore;
 
@@ -78,11 +79,25 @@
     }
 
     /**
-     * Writes the next state of the group, provided that the record still has the fencing token of this failover.
+     * Records a candidate and the highest term that the next request for its promotion may begin.
      *
-     * @return whether it still had
+     * @return whether the record still had the fencing token of this failover; otherwise it is unchanged
      */
-    Either<Failure, Boolean> change(UnaryOperator<GroupTerm> change) {
+    Either<Failure, Boolean> recordRequest(EndpointName candidate, long requestedTerm) {
+        return change(found ->
+                found.withPhase(TermPhase.PROMOTING, candidate, fencingToken).withRequestedTerm(requestedTerm));
+    }
+
+    /**
+     * Opens a term.
+     *
+     * @return whether the record still had the fencing token of this failover; otherwise it is unchanged
+     */
+    Either<Failure, Boolean> open(EndpointName primary, long term) {
+        return change(found -> GroupTerm.open(primary, term, fencingToken));
+    }
+
+    private Either<Failure, Boolean> change(UnaryOperator<GroupTerm> change) {
         return read().flatMap(current -> {
             GroupTerm found = current.orElse(null);
             if (found == null || found.fencingToken() != fencingToken) {
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/FailoverSafetyTest.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/FailoverSafetyTest.java
@@ -29,14 +29,21 @@
      *
      * @param kinds the number of kinds that are drawn from
      * @param count the number of faults
+     * @param primaryCuts the number of partitions of new primaries, in addition
      */
-    private record Faults(int kinds, int count) {
+    private record Faults(int kinds, int count, int primaryCuts) {
 
         /** Faults of daemons, of the store and of single endpoints. */
-        static final Faults SINGLE = new Faults(8, 12);
+        static final Faults SINGLE = new Faults(8, 12, 0);
 
         /** All of these, and faults that change which endpoints and daemons there are or that separate them. */
-        static final Faults ALL = new Faults(13, 18);
+        static final Faults ALL = new Faults(13, 18, 0);
+
+        /** Partitions of new primaries alone. */
+        static final Faults PRIMARY_CUTS = new Faults(0, 0, 6);
+
+        /** Partitions of new primaries together with all other faults. */
+        static final Faults ALL_WITH_PRIMARY_CUTS = new Faults(13, 12, 6);
     }
 
     /** The result of one simulation; the violation is empty if there was none. */
@@ -48,6 +55,13 @@
         for (int number = 0; number < faults.count(); number++) {
             injectFault(fleet, faults.kinds());
         }
+        for (int number = 0; number < faults.primaryCuts(); number++) {
+            SimulatedGroup.PrimaryCut cut = SimulatedGroup.PrimaryCut.draw(fleet.random());
+            fleet.simulation()
+                    .schedule(
+                            fleet.random().nextLong(DURATION_MILLIS),
+                            () -> fleet.group().cutNextPrimary(cut));
+        }
         fleet.simulation().runUntil(DURATION_MILLIS);
         return new Result(fleet.violation(), fleet.group().promotions());
     }
@@ -131,6 +145,19 @@
             assertThat(firstViolation(Safeguards.all(), Faults.ALL)).isEmpty();
         }
 
+        /** Guards against a second promotion while daemons prove a primary that the first one began unseen. */
+        @Test
+        void replacedPrimaryDoesNotServeIfNewPrimariesAreCutOff() {
+            assertThat(firstViolation(Safeguards.all(), Faults.PRIMARY_CUTS)).isEmpty();
+        }
+
+        /** Guards against the same in combination with every other fault. */
+        @Test
+        void replacedPrimaryDoesNotServeIfNewPrimariesAreCutOffBesideOtherFaults() {
+            assertThat(firstViolation(Safeguards.all(), Faults.ALL_WITH_PRIMARY_CUTS))
+                    .isEmpty();
+        }
+
         @Test
         void promotionsTakePlace() {
             long promotions = LongStream.range(BASE_SEED, BASE_SEED + 100)
@@ -141,6 +168,68 @@
         }
     }
 
+    /** What is still served while a new primary is cut off, so that safety does not come from refusals. */
+    @Nested
+    class NewPrimaryCutOff {
+
+        private static final int RUNS = 200;
+        private static final long STARTED_AT = 5000;
+        private static final long CUT_MILLIS = 20_000;
+
+        /** Time after which a second promotion, which some daemons may see as necessary, is over. */
+        private static final long SETTLED_MILLIS = 15_000;
+
+        private SimulatedFleet run(long seed, boolean hidesFromRequester, Set<Integer> otherDomains) {
+            SimulatedFleet fleet = new SimulatedFleet(seed, Safeguards.all());
+            fleet.start();
+            fleet.daemons().forEach(daemon -> daemon.setReplacesOpenTerms(false));
+            SimulatedGroup group = fleet.group();
+            group.cutNextPrimary(new SimulatedGroup.PrimaryCut(
+                    fleet.random().nextLong(1500), CUT_MILLIS, hidesFromRequester, otherDomains));
+            fleet.simulation().schedule(STARTED_AT, () -> fleet.daemon(0).startFailover(group.leader()));
+            fleet.simulation().runUntil(STARTED_AT + 2 * CUT_MILLIS);
+            assertThat(fleet.violation()).isEmpty();
+            return fleet;
+        }
+
+        private static void assertServes(SimulatedFleet fleet, long seed, Integer... domains) {
+            long cutAt = fleet.group().latestCutAt();
+            for (int domain : domains) {
+                assertThat(fleet.daemon(domain).acknowledgedWrites(cutAt + SETTLED_MILLIS, cutAt + CUT_MILLIS))
+                        .as("writes acknowledged in domain %s, seed %s", domain, seed)
+                        .isPositive();
+            }
+        }
+
+        /** Guards against refusals by daemons that reach a primary from which only the replicas are cut off. */
+        @Test
+        void isServedIfOnlyReplicasAreCutOff() {
+            for (long seed = BASE_SEED; seed < BASE_SEED + RUNS; seed++) {
+                SimulatedFleet fleet = run(seed, false, Set.of());
+                assertServes(fleet, seed, 0, 1, 2);
+                assertThat(fleet.group().promotions()).as("seed %s", seed).isOne();
+            }
+        }
+
+        /** Guards against refusals by the majority if one daemon is cut off that does not run the failover. */
+        @Test
+        void isServedByMajorityIfAnotherDaemonIsCutOff() {
+            for (long seed = BASE_SEED; seed < BASE_SEED + RUNS; seed++) {
+                SimulatedFleet fleet = run(seed, false, Set.of(2));
+                assertServes(fleet, seed, 0, 1);
+                assertThat(fleet.group().promotions()).as("seed %s", seed).isOne();
+            }
+        }
+
+        /** Guards against a group that stays without service if the daemon that runs the failover is cut off. */
+        @Test
+        void groupIsServedIfDaemonOfFailoverIsCutOff() {
+            for (long seed = BASE_SEED; seed < BASE_SEED + RUNS; seed++) {
+                assertServes(run(seed, true, Set.of()), seed, 1, 2);
+            }
+        }
+    }
+
     @Nested
     class WithoutOneSafeguard {
 
@@ -148,6 +237,26 @@
             assertThat(firstViolation(safeguards, Faults.SINGLE)).isPresent();
         }
 
+        private void assertUnsafeIfNewPrimariesAreCutOff(Safeguard safeguard) {
+            assertThat(firstViolation(Safeguards.without(safeguard), Faults.ALL_WITH_PRIMARY_CUTS))
+                    .isPresent();
+        }
+
+        @Test
+        void requestedTerms() {
+            assertUnsafeIfNewPrimariesAreCutOff(Safeguard.REQUESTED_TERMS);
+        }
+
+        @Test
+        void promisesAfterRequests() {
+            assertUnsafeIfNewPrimariesAreCutOff(Safeguard.PROMISES_AFTER_REQUESTS);
+        }
+
+        @Test
+        void unknownRequests() {
+            assertUnsafeIfNewPrimariesAreCutOff(Safeguard.UNKNOWN_REQUESTS);
+        }
+
         @Test
         void waitForEvidenceExpiry() {
             FailoverTimings defaults = FailoverTimings.DEFAULTS;
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/Safeguard.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/Safeguard.java
@@ -25,5 +25,11 @@
     /** A joining endpoint is established only after the members that others knew before are no longer valid. */
     ESTABLISHMENT_DELAY,
     /** A failover promotes established members, unless no daemon can prove the old primary any more. */
-    CANDIDATE_ELIGIBILITY
+    CANDIDATE_ELIGIBILITY,
+    /** Promises are for a later term than any that an earlier promotion request may have begun. */
+    REQUESTED_TERMS,
+    /** The demotion of the known primary does not suffice while another endpoint may have been promoted unseen. */
+    PROMISES_AFTER_REQUESTS,
+    /** If the record may not tell the latest request, only the reports of all members show the newest primary. */
+    UNKNOWN_REQUESTS
 }
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/Safeguards.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/Safeguards.java
@@ -24,6 +24,26 @@
         return has(Safeguard.CANDIDATE_ELIGIBILITY) ? timings : withMembershipMaxAge(timings, Duration.ZERO);
     }
 
+    /** Returns the record of the promotion requests of a failover. */
+    PromotionRequests promotionRequests() {
+        return new PromotionRequests() {
+            @Override
+            boolean mayHaveBegunTerm() {
+                return has(Safeguard.PROMISES_AFTER_REQUESTS) && super.mayHaveBegunTerm();
+            }
+
+            @Override
+            long highestTerm() {
+                return has(Safeguard.REQUESTED_TERMS) ? super.highestTerm() : closedTerm();
+            }
+
+            @Override
+            boolean isLatestKnown() {
+                return !has(Safeguard.UNKNOWN_REQUESTS) || super.isLatestKnown();
+            }
+        };
+    }
+
     /** Returns the timings by which endpoints become members. */
     FailoverTimings membershipTimings() {
         return has(Safeguard.ESTABLISHMENT_DELAY) ? timings : withMembershipMaxAge(timings, Duration.ZERO);
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SimulatedDaemon.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SimulatedDaemon.java
@@ -1,6 +1,7 @@
 package org.lavenderwick.core.failover;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -25,6 +26,8 @@
     /** Mean number of attempts until a daemon without the store gets the content of another one. */
     private static final int FEED_ATTEMPTS = 10;
 
+    private static final Duration STALL_TIMEOUT = Duration.ofMillis(3500);
+
     private final Simulation simulation;
     private final RandomGenerator random;
     private final SimulatedStore store;
@@ -48,6 +51,10 @@
     private boolean stopped;
     private int writesWithoutStore;
     private boolean distinguishesRestarts = true;
+    private boolean replacesOpenTerms = true;
+    private GroupTerm observedTerm;
+    private Duration observedSince;
+    private final List<Long> acknowledgementTimes = new ArrayList<>();
     private final Suspensions suspensions = Suspensions.create();
     private final SimulatedTermUpkeep terms;
     private List<SimulatedDaemon> fleet = List.of();
@@ -85,6 +92,18 @@
         stopped = true;
     }
 
+    /** Sets whether this daemon replaces primaries at random; otherwise it only continues failovers of others. */
+    void setReplacesOpenTerms(boolean replaces) {
+        replacesOpenTerms = replaces;
+    }
+
+    /** Returns how many writes this daemon has acknowledged between two times, in simulated milliseconds. */
+    long acknowledgedWrites(long fromMillis, long toMillis) {
+        return acknowledgementTimes.stream()
+                .filter(time -> time >= fromMillis && time < toMillis)
+                .count();
+    }
+
     /** Returns the number of writes sent to a primary while this daemon did not reach the store. */
     int writesWithoutStore() {
         return writesWithoutStore;
@@ -297,6 +316,7 @@
                 || provenPrimary().filter(provenWhenSent::isSameTerm).isPresent();
         if (proven) {
             group.acknowledged(commit);
+            acknowledgementTimes.add(simulation.now());
         }
         if (proven && replacedBeforeCommit) {
             violation = "a write committed by the replaced primary " + target + " was acknowledged at "
@@ -352,19 +372,42 @@
         return directory.toGroupDirectory(distinguishesRestarts);
     }
 
+    /** Returns whether a failover has made no progress for so long that another daemon continues it. */
+    private boolean isStalled(GroupTerm term) {
+        if (!term.equals(observedTerm)) {
+            observedTerm = term;
+            observedSince = clock();
+        }
+        return term.phase() != TermPhase.OPEN
+                && clock().minus(observedSince).compareTo(STALL_TIMEOUT) >= 0
+                && TermRecordStore.of(store)
+                        .read()
+                        .exists(read -> read.record()
+                                .group(SimulatedGroup.NAME)
+                                .filter(term::equals)
+                                .isPresent());
+    }
+
+    /** Starts a failover that replaces the given primary. */
+    void startFailover(EndpointName suspect) {
+        run = new FailoverRun(
+                SimulatedGroup.NAME,
+                this::directory,
+                suspect,
+                store,
+                links,
+                links,
+                safeguards.promotionRequests(),
+                safeguards.failoverTimings());
+    }
+
     private void advance() {
         if (run == null || run.outcome() != FailoverOutcome.RUNNING) {
             run = null;
             Optional<GroupTerm> term = evidence.record().group(SimulatedGroup.NAME);
-            if (term.isPresent() && random.nextInt(12) == 0) {
-                run = new FailoverRun(
-                        SimulatedGroup.NAME,
-                        this::directory,
-                        term.get().primary(),
-                        store,
-                        links,
-                        links,
-                        safeguards.failoverTimings());
+            boolean due = replacesOpenTerms || term.filter(this::isStalled).isPresent();
+            if (term.isPresent() && due && random.nextInt(12) == 0) {
+                startFailover(term.get().primary());
             }
         }
         if (run != null && reachesStore()) {
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SimulatedEndpoint.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SimulatedEndpoint.java
@@ -32,6 +32,8 @@
     boolean disconnected;
     boolean storeCut;
     boolean draining;
+    boolean separated;
+    final Set<Integer> unreachableFrom = new HashSet<>();
     List<Commit> log = new ArrayList<>();
 
     SimulatedEndpoint(int domain) {
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SimulatedLinks.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SimulatedLinks.java
@@ -28,13 +28,15 @@
 
     @Override
     public Either<Failure, PromotionAnswer> promote(GroupName name, EndpointName candidate, long fencingToken) {
-        return network.reachesStore(domain)
-                ? group.promote(name, candidate, fencingToken)
-                : Either.left(Failure.of(ErrorKind.PLATFORM_UNAVAILABLE, "cut off"));
+        if (!network.reachesStore(domain)) {
+            return Either.left(Failure.of(ErrorKind.PLATFORM_UNAVAILABLE, "cut off"));
+        }
+        group.onPromotionRequested(candidate, domain);
+        return group.promote(name, candidate, fencingToken);
     }
 
     boolean reaches(EndpointName endpoint) {
-        return network.connects(domain, group.domain(endpoint));
+        return network.connects(domain, group.domain(endpoint)) && group.isReachableFrom(endpoint, domain);
     }
 
     private Either<Failure, EndpointEntry> reach(EndpointEntry endpoint) {
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SyncFailoverSafetyTest.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/SyncFailoverSafetyTest.java
@@ -1,6 +1,8 @@
 package org.lavenderwick.core.failover;
 
 import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -28,6 +30,7 @@
     /** A missing safeguard shows in few of the pairs; the search ends with the first loss. */
     private static final long ROUNDS_WITHOUT_SAFEGUARD = 40;
 
+    private static final long ROUNDS_WITH_PRIMARY_CUT = 10;
     private static final long BASE_SEED = Long.getLong("lavenderwick.failover.baseSeed", 20_261_205);
     private static final long DURATION_MILLIS = 30_000;
     private static final int FAULTS_OF_A_KIND = 3;
@@ -46,9 +49,15 @@
         STORE_FAULTS,
         STORE_RESTORED,
         DAEMON_SUSPENDED,
-        DAEMON_CUT
+        DAEMON_CUT,
+        PRIMARY_CUT
     }
 
+    /** The faults of which every pair is simulated. Partitions of new primaries are paired with each of them only. */
+    private static final List<Fault> PAIRED_FAULTS = Arrays.stream(Fault.values())
+            .filter(fault -> fault != Fault.PRIMARY_CUT)
+            .toList();
+
     /** What is simulated: the faults, how many replicas a commit needs, and what the daemons know of it. */
     private record Scenario(
             Fault first, Fault second, int required, int configured, SimulatedSyncReplicas.Guards guards) {
@@ -141,6 +150,10 @@
                 simulation.schedule(start, () -> daemon.setStoreReachable(false));
                 simulation.schedule(end, () -> daemon.setStoreReachable(true));
             }
+            case PRIMARY_CUT -> {
+                SimulatedGroup.PrimaryCut cut = SimulatedGroup.PrimaryCut.draw(random);
+                simulation.schedule(start, () -> group.cutNextPrimary(cut));
+            }
         }
     }
 
@@ -155,14 +168,18 @@
 
     private static Optional<String> firstLossOfRound(
             int required, int configured, SimulatedSyncReplicas.Guards guards, long round) {
-        int kinds = Fault.values().length;
+        int kinds = PAIRED_FAULTS.size();
         return LongStream.range(0, kinds * kinds * PAIR_SEEDS)
                 .parallel()
                 .mapToObj(number -> {
                     int pair = (int) (number / PAIR_SEEDS);
                     long seed = round * PAIR_SEEDS + number % PAIR_SEEDS;
                     Scenario scenario = new Scenario(
-                            Fault.values()[pair / kinds], Fault.values()[pair % kinds], required, configured, guards);
+                            PAIRED_FAULTS.get(pair / kinds),
+                            PAIRED_FAULTS.get(pair % kinds),
+                            required,
+                            configured,
+                            guards);
                     return scenario.run(BASE_SEED + pair * 1_000_003L + seed);
                 })
                 .filter(text -> !text.isEmpty())
@@ -177,6 +194,23 @@
         void promotedEndpointsHaveEveryAcknowledgedCommit(int syncReplicas) {
             assertThat(firstLoss(syncReplicas, syncReplicas, ALL_GUARDS, 1)).isEmpty();
         }
+
+        /** Guards against the loss of commits of a primary that the failover could not see after its promotion. */
+        @ParameterizedTest
+        @ValueSource(ints = {1, 2})
+        void promotedEndpointsHaveEveryCommitOfNewPrimariesThatAreCutOff(int syncReplicas) {
+            assertThat(LongStream.range(0, Fault.values().length * PAIR_SEEDS * ROUNDS_WITH_PRIMARY_CUT)
+                            .parallel()
+                            .mapToObj(number -> {
+                                Fault fault = Fault.values()[(int) (number % Fault.values().length)];
+                                Scenario scenario =
+                                        new Scenario(Fault.PRIMARY_CUT, fault, syncReplicas, syncReplicas, ALL_GUARDS);
+                                return scenario.run(BASE_SEED + number);
+                            })
+                            .filter(text -> !text.isEmpty())
+                            .findAny())
+                    .isEmpty();
+        }
     }
 
     /** Checks that the simulation finds a loss if a safeguard is missing. */
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/TermInheritanceTest.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/TermInheritanceTest.java
@@ -13,6 +13,10 @@
 
     private static final long ERA = 3;
     private static final long FENCING_TOKEN = EraRevision.of(ERA, 0);
+
+    /** The copy may not show the last promotions, so terms beyond the inherited one may have begun. */
+    private static final long REQUESTED_TERM = 4 + PromotionRequests.UNRECORDED_REQUESTS;
+
     private static final EndpointName FIRST = EndpointName.of("e1");
     private static final EndpointName SECOND = EndpointName.of("e2");
     private static final Duration SINCE = Duration.ofSeconds(10);
@@ -56,7 +60,7 @@
                         ERA, open, Optional.empty(), Optional.empty(), SINCE, LATER.minusMillis(1)))
                 .isEmpty();
         assertThat(TermInheritance.termToRecord(ERA, open, Optional.empty(), Optional.empty(), SINCE, LATER))
-                .contains(new GroupTerm(FIRST, 4, TermPhase.CLOSING, FENCING_TOKEN));
+                .contains(new GroupTerm(FIRST, 4, TermPhase.CLOSING, FENCING_TOKEN, REQUESTED_TERM));
     }
 
     /** Guards against a needless failover because an endpoint has restarted shortly before the return. */
@@ -68,7 +72,7 @@
                         ERA, open, Optional.empty(), proven(SECOND, 5), SINCE, end.minusMillis(1)))
                 .isEmpty();
         assertThat(TermInheritance.termToRecord(ERA, open, Optional.empty(), proven(SECOND, 5), SINCE, end))
-                .contains(new GroupTerm(FIRST, 4, TermPhase.CLOSING, FENCING_TOKEN));
+                .contains(new GroupTerm(FIRST, 4, TermPhase.CLOSING, FENCING_TOKEN, REQUESTED_TERM));
     }
 
     /** Guards against waiting for a primary that an unfinished promotion may still replace. */
@@ -76,7 +80,7 @@
     void reportedPrimaryOfAnEarlierTermIsNotWaitedFor() {
         Optional<GroupTerm> open = inherited(TermPhase.OPEN, FIRST, 4);
         assertThat(TermInheritance.termToRecord(ERA, open, Optional.empty(), proven(SECOND, 3), SINCE, LATER))
-                .contains(new GroupTerm(FIRST, 4, TermPhase.CLOSING, FENCING_TOKEN));
+                .contains(new GroupTerm(FIRST, 4, TermPhase.CLOSING, FENCING_TOKEN, REQUESTED_TERM));
     }
 
     /** Guards against an old primary that continues although a promotion may still take effect. */
@@ -85,7 +89,7 @@
         Optional<GroupTerm> promoting = inherited(TermPhase.PROMOTING, SECOND, 4);
         assertThat(record(promoting, proven(FIRST, 4))).isEmpty();
         assertThat(TermInheritance.termToRecord(ERA, promoting, proven(FIRST, 4), Optional.empty(), SINCE, LATER))
-                .contains(new GroupTerm(SECOND, 4, TermPhase.PROMOTING, FENCING_TOKEN));
+                .contains(new GroupTerm(SECOND, 4, TermPhase.PROMOTING, FENCING_TOKEN, REQUESTED_TERM));
         assertThat(record(promoting, proven(SECOND, 5))).contains(GroupTerm.open(SECOND, 5, FENCING_TOKEN));
     }
 
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/TermRecordTest.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/TermRecordTest.java
@@ -56,6 +56,28 @@
             assertThat(text).contains("orders#members a%2C%40b+c,e1,e2@42 0 CLOSING 0");
         }
 
+        /** Guards against a takeover that does not know which terms earlier requests may have begun. */
+        @Test
+        void namesRequestedTermsInTheFormOfAGroup() {
+            GroupTerm requested = GroupTerm.open(SECOND, 3, 9)
+                    .withPhase(TermPhase.PROMOTING, SECOND, 11)
+                    .withRequestedTerm(6);
+            String text = TermRecordCodec.encode(RECORD.with(ORDERS, requested));
+            assertThat(TermRecordCodec.decode(text).get().group(ORDERS)).contains(requested);
+            assertThat(text.lines().skip(1))
+                    .allSatisfy(line -> assertThat(line.split(" ")).hasSize(5));
+            assertThat(text).contains("orders#requested e2 6 CLOSING 0");
+        }
+
+        /** Guards against promises for needlessly late terms after a daemon of an earlier version opened the term. */
+        @Test
+        void ignoresRequestedTermsOfAnOpenTerm() {
+            assertThat(TermRecordCodec.decode("lease 1\norders e1 4 OPEN 9\norders#requested e1 6 CLOSING 0")
+                            .get()
+                            .group(ORDERS))
+                    .contains(GroupTerm.open(FIRST, 4, 9));
+        }
+
         @ParameterizedTest
         @ValueSource(
                 strings = {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FailoverManager.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FailoverManager.java
@@ -18,6 +18,7 @@
 import org.lavenderwick.core.failover.GroupDirectory;
 import org.lavenderwick.core.failover.GroupTerm;
 import org.lavenderwick.core.failover.PromotionPort;
+import org.lavenderwick.core.failover.PromotionRequests;
 import org.lavenderwick.core.model.DaemonName;
 import org.lavenderwick.core.model.EndpointName;
 import org.lavenderwick.core.model.GroupName;
@@ -93,6 +94,7 @@
                     store,
                     endpoints,
                     promotions,
+                    PromotionRequests.none(),
                     FailoverTimings.DEFAULTS);
             FailoverWaitPublisher waits = new FailoverWaitPublisher(daemon, group, store, clocks);
             String step = "";
