Answer every request of a session before a planned stop ends it

Cause: a tick every 20 ms closed the sessions that it found idle, and rolled back the transactions that it found without a statement. A session that sends its next request at once is never found so. Nothing was decided when a request arrived, nor for what ran at the end.

StopSchedule now has all times of a stop. From half of the stop time on, operations and sessions that arrive are rejected as not run before the session is closed, and a transaction is rolled back when its next statement arrives. Statements that wait for an endpoint are rejected 1 s before the end; what still runs is answered 0.2 s before it, as unknown where it may commit. Idle sessions are closed after 200 ms without a request only, since the next request of a busy caller may be on its way, and at times spread over 0.6 s. A stopping owner lets the relaying daemon try the next one.

--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/statement/SessionContext.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/statement/SessionContext.java
@@ -23,6 +23,28 @@
         return new SessionContext();
     }
 
+    /**
+     * Carries out a statement that concerns only the context.
+     *
+     * @return whether the session had capacity for it; otherwise nothing has changed
+     * @throws IllegalArgumentException if the statement does not set a variable, or add or remove a prepared statement
+     */
+    public boolean apply(Statement statement) {
+        return switch (statement.kind()) {
+            case SET -> setVariable(statement.name(), statement.operand());
+            case PREPARE ->
+                prepare(
+                        statement.name(),
+                        new PreparedStatement(statement.preparedAccess().get(), statement.operand()));
+            case DEALLOCATE -> {
+                deallocate(statement.name());
+                yield true;
+            }
+            default ->
+                throw new IllegalArgumentException("expected a statement of the session, got " + statement.kind());
+        };
+    }
+
     /** Sets a session variable and returns true, or returns false if the session has no capacity for another one. */
     public boolean setVariable(String name, String value) {
         return putBounded(variables, name, value);
@@ -41,6 +63,11 @@
         prepared.remove(name);
     }
 
+    /** Returns the prepared statement that a statement executes; empty if it executes none or there is none. */
+    public Optional<PreparedStatement> preparedFor(Statement statement) {
+        return statement.kind() == StatementKind.EXECUTE ? prepared(statement.name()) : Optional.empty();
+    }
+
     /** Returns the prepared statement with the given name, if there is one. */
     public Optional<PreparedStatement> prepared(String name) {
         return Optional.ofNullable(prepared.get(name));
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
@@ -20,6 +20,7 @@
 import org.lavenderwick.daemon.session.Peer;
 import org.lavenderwick.daemon.session.ReadinessResponder;
 import org.lavenderwick.daemon.session.SessionProxy;
+import org.lavenderwick.daemon.session.StopSchedule;
 import org.lavenderwick.platform.LineCallerCodec;
 import org.lavenderwick.platform.LineEndpointCodec;
 import org.lavenderwick.platform.PromoteCall;
@@ -38,12 +39,6 @@
     /** Timeout of promotion requests. */
     private static final Duration PROMOTION_TIMEOUT = Duration.ofMillis(1500);
 
-    /** Time within which the platform notices that this daemon has become not ready and takes it out of rotation. */
-    private static final Duration ROTATION_EXIT_DELAY = Duration.ofMillis(2400);
-
-    /** Part of the stop time that is reserved for closing connections and removing store entries. */
-    private static final Duration STOP_RESERVE = Duration.ofMillis(600);
-
     private static final Duration DRAIN_POLL_INTERVAL = Duration.ofMillis(20);
 
     private static final Logger LOG = Logger.getLogger(SessionDaemon.class);
@@ -158,18 +153,17 @@
      */
     void stop() throws InterruptedException {
         Duration startedAt = clock.now();
-        Duration drainTimeout = settings.stopTime().minus(STOP_RESERVE);
+        StopSchedule schedule = StopSchedule.of(settings.stopTime());
         stopping = true;
         LOG.info("[daemon] Stopping: reporting not ready and draining open sessions.");
-        loop.execute(
-                () -> proxy.startDrain(ROTATION_EXIT_DELAY, settings.stopTime().dividedBy(2)));
+        loop.execute(() -> proxy.startDrain(schedule));
         control.leave();
-        while (clock.now().minus(startedAt).compareTo(drainTimeout) < 0) {
-            boolean outOfRotation = clock.now()
+        while (clock.now().minus(startedAt).compareTo(schedule.end()) < 0) {
+            boolean mayBeEmpty = clock.now()
                             .minus(startedAt)
-                            .compareTo(ROTATION_EXIT_DELAY.plus(DRAIN_POLL_INTERVAL.multipliedBy(2)))
+                            .compareTo(schedule.firstClose().plus(DRAIN_POLL_INTERVAL.multipliedBy(2)))
                     > 0;
-            if (outOfRotation && proxy.openSessions() == 0) {
+            if (mayBeEmpty && proxy.openSessions() == 0) {
                 break;
             }
             Thread.sleep(DRAIN_POLL_INTERVAL.toMillis());
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerConnection.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerConnection.java
@@ -51,7 +51,7 @@
     private CallerSession localSession;
     private RelayedSession relayedSession;
     private Peer owner;
-    private Duration lastRequestAt;
+    private Duration lastActiveAt;
 
     private CallerConnection(
             SessionProxy proxy,
@@ -114,18 +114,25 @@
     private void forward(String text) {
         if (access.checkRelayed(relayedSession.isInTransaction()) == Verdict.END) {
             endRelay();
-            CallerResponseWriter writer = new CallerResponseWriter(codec, loop, proxy.requestLog());
-            writer.attach(line);
+            CallerResponseWriter writer = newWriter();
             writer.logRejection(access.database(), SessionAccess.withdrawn());
             writer.sendFailureAndClose(SessionAccess.withdrawn());
             return;
         }
         if (isOwnerGone()) {
-            rejectAndEndRelay(text);
+            rejectAndEndRelay(
+                    text,
+                    Failure.of(ErrorKind.OWNER_UNREACHABLE, "the owner of the session does not respond, retry now"));
             return;
         }
-        lastRequestAt = loop.now();
-        proxy.unresponsiveOwners().onRequestSent(owner, lastRequestAt);
+        if (proxy.rejectsOperations() && !relayedSession.isAwaitingResponse()) {
+            // The owner rolls an open transaction back when the connection to it closes.
+            rejectAndEndRelay(
+                    text, relayedSession.isInTransaction() ? StopFailures.TRANSACTION : StopFailures.OPERATION);
+            return;
+        }
+        lastActiveAt = loop.now();
+        proxy.unresponsiveOwners().onRequestSent(owner, lastActiveAt);
         relayedSession.forward(text);
     }
 
@@ -139,20 +146,26 @@
                 && proxy.unresponsiveOwners().isUnresponsive(owner, loop.now());
     }
 
-    private void rejectAndEndRelay(String text) {
+    private void rejectAndEndRelay(String text, Failure failure) {
         endRelay();
         if (codec.parse(text).getOrNull() instanceof CallerMessage.Query query) {
-            CallerResponseWriter writer = new CallerResponseWriter(codec, loop, proxy.requestLog());
-            writer.attach(line);
-            writer.beginRequest(query.id(), access.database());
-            writer.sendFailure(
-                    Optional.empty(),
-                    Failure.of(ErrorKind.OWNER_UNREACHABLE, "the owner of the session does not respond, retry now"),
-                    SessionState.IDLE);
+            sendFailure(query.id(), failure);
         }
         line.closeAfterSending();
     }
 
+    private CallerResponseWriter newWriter() {
+        CallerResponseWriter writer = new CallerResponseWriter(codec, loop, proxy.requestLog());
+        writer.attach(line);
+        return writer;
+    }
+
+    private void sendFailure(String id, Failure failure) {
+        CallerResponseWriter writer = newWriter();
+        writer.beginRequest(id, access.database());
+        writer.sendFailure(Optional.empty(), failure, SessionState.IDLE);
+    }
+
     private void openSession(String text) {
         if (codec.parse(text).getOrNull() instanceof CallerMessage.Connect connect) {
             // The key itself is not kept.
@@ -162,7 +175,8 @@
                             .map(RelayProtocol.RelayedKey::fingerprint)
                             .orElseGet(() -> KeyFingerprint.ofKey(connect.credential())));
         }
-        if (origin.isPresent() && isOutdated(origin.get())) {
+        if (origin.isPresent() && (isOutdated(origin.get()) || proxy.rejectsOperations())) {
+            // The daemon that relays the session goes on to the next owner.
             line.send(RelayProtocol.OUTDATED);
             line.closeAfterSending();
             proxy.onSessionEnded(this);
@@ -224,8 +238,8 @@
                 next.open(loop, peer, relayOpening);
                 relayedSession = next;
                 owner = peer;
-                lastRequestAt = loop.now();
-                proxy.unresponsiveOwners().onRequestSent(owner, lastRequestAt);
+                lastActiveAt = loop.now();
+                proxy.unresponsiveOwners().onRequestSent(owner, lastActiveAt);
                 // Further lines wait until an owner has accepted the session, because another one may still take over.
                 line.pause();
             } catch (IOException e) {
@@ -243,6 +257,7 @@
 
     @Override
     public void onResponseLine(String text) {
+        lastActiveAt = loop.now();
         relayOpening = null;
         proxy.unresponsiveOwners().onResponse(owner);
         line.send(text);
@@ -297,7 +312,7 @@
             localSession.abortIfIdle(transactionIdleTimeout);
         } else if (relayedSession != null && relayedSession.isAwaitingResponse()) {
             Duration timeout = relayedSession.isAccepted() ? RESPONSE_TIMEOUT : ACCEPT_TIMEOUT;
-            if (lastRequestAt.plus(timeout).compareTo(now) < 0) {
+            if (lastActiveAt.plus(timeout).compareTo(now) < 0) {
                 RelayedSession timedOut = relayedSession;
                 timedOut.close();
                 onOwnerLost(timedOut.isAccepted());
@@ -334,27 +349,48 @@
         onClosed("the daemon closed the session after an unexpected error");
     }
 
-    /** Closes the session if it has neither a running statement nor a transaction, and no request has arrived. */
-    void closeIfIdle() {
+    /** Closes the session if it has had neither a running statement nor a transaction for a time. */
+    void closeIfIdle(Duration idleTime) {
         line.readArrived();
         if (localSession != null) {
-            localSession.closeIfIdle();
-        } else if (relayedSession == null || !relayedSession.isBusy()) {
+            localSession.closeIfIdle(idleTime);
+        } else if (relayedSession == null
+                || (!relayedSession.isBusy() && loop.now().minus(lastActiveAt).compareTo(idleTime) >= 0)) {
             endRelay();
             line.closeAfterSending();
         }
     }
 
+    /** Rejects a statement that has not been sent to an endpoint; the owner of a relayed session decides for itself. */
+    void rejectQueued() {
+        if (localSession != null) {
+            localSession.rejectQueued();
+        }
+    }
+
+    /** Ends the session with an answer to the request in progress, if there is one, because the process ends. */
+    void endForStop() {
+        line.readArrived();
+        if (localSession != null) {
+            localSession.endForStop();
+            return;
+        }
+        boolean isRequestInProgress =
+                relayedSession != null && relayedSession.isAwaitingResponse() && relayedSession.isAccepted();
+        endRelay();
+        if (isRequestInProgress) {
+            sendFailure("-", StopFailures.UNKNOWN);
+        }
+        line.closeAfterSending();
+    }
+
     /**
-     * Rolls back an open transaction with no running statement. A relayed session is closed, whether or not it has a
-     * transaction, unless a response is outstanding. Called when the daemon stops.
+     * Rolls back an open transaction with no running statement. That of a relayed session ends with its next statement,
+     * which is rejected, because the caller would not learn why its connection is closed.
      */
     void abortTransaction() {
         if (localSession != null) {
             localSession.abortTransaction();
-        } else if (relayedSession != null && !relayedSession.isAwaitingResponse()) {
-            endRelay();
-            line.closeAfterSending();
         }
     }
 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerSession.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerSession.java
@@ -82,8 +82,7 @@
         } else if (message.get() instanceof CallerMessage.Connect) {
             rejectAndClose(Failure.of(ErrorKind.MALFORMED_REQUEST, "the session is open already"));
         } else if (message.get() instanceof CallerMessage.Quit) {
-            end();
-            line.closeAfterSending();
+            close();
         } else if (database == null) {
             rejectAndClose(Failure.of(ErrorKind.MALFORMED_REQUEST, "the session is not open"));
         } else if (access.check(transaction, true) == Verdict.END) {
@@ -98,14 +97,9 @@
 
     /** Opens the session on a database, or rejects it. */
     void open(DatabaseAccess presented) {
-        Optional<Failure> failure = presented.open();
         database = presented.database();
         access = presented;
-        if (failure.isEmpty()) {
-            responseWriter.sendReady(state(), Optional.empty());
-        } else {
-            reject(failure.get());
-        }
+        presented.open().ifPresentOrElse(this::reject, () -> responseWriter.sendReady(state(), Optional.empty()));
     }
 
     private void reject(Failure failure) {
@@ -127,8 +121,7 @@
         }
         if (current == null) {
             line.readArrived();
-            end();
-            line.closeAfterSending();
+            close();
         } else {
             endStatement(current, verdict == Verdict.ROLL_BACK);
         }
@@ -136,7 +129,7 @@
     }
 
     private void endStatement(PendingStatement pending, boolean rollBack) {
-        boolean queued = proxy.dispatcher(pending.route().group()).cancel(pending);
+        boolean queued = cancel(pending);
         Failure rolledBack = Failure.of(ErrorKind.TRANSACTION_ABORTED, "the key gives no access to the transaction");
         if (queued && rollBack) {
             onFailed(pending, rolledBack);
@@ -155,16 +148,7 @@
             return;
         }
         switch (statement.kind()) {
-            case SET -> completeLocally(statement, context.setVariable(statement.name(), statement.operand()));
-            case PREPARE -> {
-                PreparedStatement prepared =
-                        new PreparedStatement(statement.preparedAccess().get(), statement.operand());
-                completeLocally(statement, context.prepare(statement.name(), prepared));
-            }
-            case DEALLOCATE -> {
-                context.deallocate(statement.name());
-                completeLocally(statement, true);
-            }
+            case SET, PREPARE, DEALLOCATE -> completeLocally(context.apply(statement));
             case BEGIN, BEGIN_READ_ONLY -> begin(statement.kind() == StatementKind.BEGIN_READ_ONLY);
             case ROLLBACK -> rollBack();
             case COMMIT -> commit(id, statement);
@@ -172,7 +156,7 @@
         }
     }
 
-    private void completeLocally(Statement statement, boolean accepted) {
+    private void completeLocally(boolean accepted) {
         if (transaction.isFailed()) {
             rejectForState();
         } else if (!accepted) {
@@ -187,13 +171,10 @@
             rejectForState();
             return;
         }
-        Either<Failure, DatabaseRoute> route = proxy.routes().find(database);
-        if (route.isLeft()) {
-            sendFailure(route.getLeft());
-            return;
-        }
-        transaction.begin(route.get(), beginReadOnly);
-        responseWriter.sendSuccess(List.of(), "", state(), Optional.empty());
+        beginOperation().ifPresent(route -> {
+            transaction.begin(route, beginReadOnly);
+            responseWriter.sendSuccess(List.of(), "", state(), Optional.empty());
+        });
     }
 
     private void rollBack() {
@@ -223,24 +204,16 @@
             rejectForState();
             return;
         }
-        Optional<PreparedStatement> prepared = Optional.empty();
-        if (statement.kind() == StatementKind.EXECUTE) {
-            prepared = context.prepared(statement.name());
-            if (prepared.isEmpty()) {
-                failTransaction(Failure.of(ErrorKind.UNKNOWN_PREPARED_STATEMENT, statement.name()));
-                return;
-            }
+        Optional<PreparedStatement> prepared = context.preparedFor(statement);
+        if (statement.kind() == StatementKind.EXECUTE && prepared.isEmpty()) {
+            failTransaction(Failure.of(ErrorKind.UNKNOWN_PREPARED_STATEMENT, statement.name()));
+            return;
         }
         if (!transaction.isNone()) {
             submit(statements.transactional(id, statement, prepared, transaction.route(), transaction.isReadOnly()));
             return;
         }
-        Either<Failure, DatabaseRoute> route = proxy.routes().find(database);
-        if (route.isLeft()) {
-            sendFailure(route.getLeft());
-            return;
-        }
-        submit(statements.single(id, statement, prepared, route.get()));
+        beginOperation().ifPresent(route -> submit(statements.single(id, statement, prepared, route)));
     }
 
     private void submit(PendingStatement pending) {
@@ -251,12 +224,7 @@
                     .submit(pending, proxy.dispatcher(pending.route().group()));
             return;
         }
-        pending.recordPrimaryWhenSent(proxy.provenPrimary(pending.route().group(), transaction.connection()));
-        if (pending.commitsWrites() && pending.primaryWhenSent().isEmpty()) {
-            onFailed(pending, Failure.of(ErrorKind.TRANSACTION_ABORTED, "the primary may have been replaced"));
-        } else {
-            transaction.connection().run(pending, Optional.empty());
-        }
+        transaction.run(pending, proxy).ifPresent(failure -> onFailed(pending, failure));
     }
 
     /** Called before a statement is sent to an endpoint; binds a transaction to the connection. */
@@ -304,6 +272,16 @@
         }
     }
 
+    /** Returns the route of an operation that begins now; empty after rejecting it. */
+    private Optional<DatabaseRoute> beginOperation() {
+        Either<Failure, DatabaseRoute> route = access.routeForOperation();
+        route.peekLeft(this::sendFailure);
+        if (proxy.rejectsOperations()) {
+            close();
+        }
+        return route.toJavaOptional();
+    }
+
     private void failTransaction(Failure failure) {
         if (!transaction.isNone()) {
             transaction.release();
@@ -329,14 +307,33 @@
         }
     }
 
-    /** Closes the session if it has neither a running statement nor a transaction. Returns whether it was closed. */
-    boolean closeIfIdle() {
-        if (current != null || !transaction.isNone()) {
-            return false;
+    /** Closes the session if it has had neither a running statement nor a transaction for a time. */
+    void closeIfIdle(Duration idleTime) {
+        boolean isQuiet = loop.now().minus(lastActiveAt).compareTo(idleTime) >= 0;
+        if (current == null && transaction.isNone() && isQuiet) {
+            close();
         }
-        end();
-        line.closeAfterSending();
-        return true;
+    }
+
+    /** Rejects the statement in progress if it waits to be sent to an endpoint, because the daemon stops. */
+    void rejectQueued() {
+        if (current != null && cancel(current)) {
+            onFailed(current, StopFailures.of(current, true));
+        }
+    }
+
+    /** Ends the session, and tells the caller what is known of the statement in progress, because the process ends. */
+    void endForStop() {
+        rejectQueued();
+        if (current != null) {
+            current.abandon();
+            onFailed(current, StopFailures.of(current, false));
+        }
+        close();
+    }
+
+    private boolean cancel(PendingStatement pending) {
+        return proxy.dispatcher(pending.route().group()).cancel(pending);
     }
 
     /** Rolls back the transaction unless one of its statements is in progress. */
@@ -382,13 +379,18 @@
         end();
     }
 
+    private void close() {
+        end();
+        line.closeAfterSending();
+    }
+
     private void end() {
         onEnd.run();
         if (current != null) {
             PendingStatement pending = current;
             current = null;
             pending.abandon();
-            proxy.dispatcher(pending.route().group()).cancel(pending);
+            cancel(pending);
         }
         transaction.release();
     }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/DatabaseAccess.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/DatabaseAccess.java
@@ -47,14 +47,29 @@
 
     /** Opens the session, or returns why it cannot be opened. */
     Optional<Failure> open() {
-        Either<Failure, DatabaseRoute> route = proxy.routes().find(database);
+        Either<Failure, DatabaseRoute> route = routeForOperation();
         return route.isLeft()
                 ? Optional.of(route.getLeft())
                 : access.open(rules()).map(proxy.routes()::deny);
     }
 
-    /** Returns what the session may do now, after rolling back an idle transaction whose time is over. */
+    /** Returns the route of an operation that begins now, or why none may begin. */
+    Either<Failure, DatabaseRoute> routeForOperation() {
+        return proxy.rejectsOperations()
+                ? Either.left(StopFailures.OPERATION)
+                : proxy.routes().find(database);
+    }
+
+    /**
+     * Returns what the session may do now, after rolling back a transaction whose time is over. A transaction whose
+     * statements follow each other without a pause is idle only for the moment at which the next one arrives.
+     *
+     * @param idle whether no statement is in progress
+     */
     Verdict check(SessionTransaction transaction, boolean idle) {
+        if (idle && transaction.isOpen() && proxy.rejectsOperations()) {
+            transaction.lose();
+        }
         Verdict verdict = access.check(rules(), transaction.isOpen(), loop.now());
         if (verdict == Verdict.ROLL_BACK && idle) {
             transaction.lose();
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionDrain.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionDrain.java
@@ -2,36 +2,82 @@
 
 import java.time.Duration;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.function.DoubleSupplier;
 
-/** The gradual closing of all sessions before the daemon stops. */
+/**
+ * The closing of all sessions before the daemon stops, by a {@link StopSchedule}. Confined to the traffic thread.
+ *
+ * <p>A session that is used without a pause ends with its next operation, which is rejected as not run: a caller whose
+ * connection is closed cannot tell whether its request was executed.
+ */
 final class SessionDrain {
 
-    private final Duration closeIdleFrom;
-    private final Duration abortFrom;
+    /**
+     * Time without a request after which a session is closed. The next request of a caller that uses its session all
+     * the time may be on its way, and would be cut.
+     */
+    private static final Duration MIN_IDLE_TIME = Duration.ofMillis(200);
+
+    private final Duration startedAt;
+    private final StopSchedule schedule;
+    private final DoubleSupplier random;
+    private final Map<CallerConnection, Duration> closeFrom = new HashMap<>();
 
     /**
-     * Creates a drain.
+     * Creates a drain that begins now.
      *
-     * @param closeIdleFrom monotonic time from which sessions without a running statement or transaction are closed; by
-     *     then, callers open new sessions at other daemons
-     * @param abortFrom monotonic time from which open transactions are rolled back
+     * @param startedAt the present time of the event loop
+     * @param random returns numbers from 0 to 1, by which the ends of idle sessions are spread
      */
-    SessionDrain(Duration closeIdleFrom, Duration abortFrom) {
-        this.closeIdleFrom = closeIdleFrom;
-        this.abortFrom = abortFrom;
+    SessionDrain(Duration startedAt, StopSchedule schedule, DoubleSupplier random) {
+        this.startedAt = startedAt;
+        this.schedule = schedule;
+        this.random = random;
+    }
+
+    /** Returns whether operations and sessions that arrive now are rejected, and open transactions are rolled back. */
+    boolean isAfterLastOperation(Duration now) {
+        return isPast(schedule.lastOperation(), now);
+    }
+
+    /** Returns whether statements are no longer sent to endpoints. */
+    boolean isAfterLastStart(Duration now) {
+        return isPast(schedule.lastStart(), now);
     }
 
-    /** Closes the sessions that may be closed at the given time. */
+    /** Ends what is due by the given time. */
     void tick(Duration now, Collection<CallerConnection> sessions) {
-        if (now.compareTo(closeIdleFrom) < 0) {
+        if (!isPast(schedule.firstClose(), now)) {
             return;
         }
+        closeFrom.keySet().retainAll(sessions);
         for (CallerConnection session : List.copyOf(sessions)) {
-            if (now.compareTo(abortFrom) >= 0) {
+            if (isPast(schedule.lastAnswer(), now)) {
+                session.endForStop();
+                continue;
+            }
+            if (isAfterLastStart(now)) {
+                session.rejectQueued();
+            }
+            if (isAfterLastOperation(now)) {
                 session.abortTransaction();
             }
-            session.closeIfIdle();
+            if (isPast(closeFrom.computeIfAbsent(session, added -> drawCloseTime()), now)) {
+                session.closeIfIdle(MIN_IDLE_TIME);
+            }
         }
     }
+
+    /** Callers whose sessions end at the same moment would all open new ones at the other daemons at once. */
+    private Duration drawCloseTime() {
+        Duration span = schedule.lastOperation().minus(schedule.firstClose());
+        return schedule.firstClose().plusNanos((long) (span.toNanos() * random.getAsDouble()));
+    }
+
+    private boolean isPast(Duration time, Duration now) {
+        return now.minus(startedAt).compareTo(time) >= 0;
+    }
 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
@@ -271,14 +271,14 @@
         unauthorizedSessions.remove(session);
     }
 
-    /**
-     * Starts to close all sessions for a graceful stop.
-     *
-     * @param closeIdleAfter time from now after which sessions without a running statement or transaction are closed
-     * @param abortAfter time from now after which open transactions are rolled back
-     */
-    public void startDrain(Duration closeIdleAfter, Duration abortAfter) {
-        drain = new SessionDrain(loop.now().plus(closeIdleAfter), loop.now().plus(abortAfter));
+    /** Starts to close all sessions for a graceful stop; has no effect if they are being closed already. */
+    public void startDrain(StopSchedule schedule) {
+        drain = drain == null ? new SessionDrain(loop.now(), schedule, random::nextDouble) : drain;
+    }
+
+    /** Returns whether operations and sessions that arrive now are rejected because the daemon stops. */
+    boolean rejectsOperations() {
+        return drain != null && drain.isAfterLastOperation(loop.now());
     }
 
     @Override
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionTransaction.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionTransaction.java
@@ -1,7 +1,11 @@
 package org.lavenderwick.daemon.session;
 
+import java.util.Optional;
+
 import org.lavenderwick.adapters.session.SessionState;
 import org.lavenderwick.core.catalog.DatabaseRoute;
+import org.lavenderwick.core.error.ErrorKind;
+import org.lavenderwick.core.error.Failure;
 
 /** The transaction of a session, and the endpoint connection that it is bound to. Confined to the traffic thread. */
 final class SessionTransaction {
@@ -65,6 +69,20 @@
         state = TransactionState.OPEN;
     }
 
+    /**
+     * Sends a further statement to the endpoint of the transaction.
+     *
+     * @return why it must not be sent; empty if it was
+     */
+    Optional<Failure> run(PendingStatement pending, SessionProxy proxy) {
+        pending.recordPrimaryWhenSent(proxy.provenPrimary(pending.route().group(), connection));
+        if (pending.commitsWrites() && pending.primaryWhenSent().isEmpty()) {
+            return Optional.of(Failure.of(ErrorKind.TRANSACTION_ABORTED, "the primary may have been replaced"));
+        }
+        connection.run(pending, Optional.empty());
+        return Optional.empty();
+    }
+
     /** Called when the first statement of the transaction did not run and was queued again. */
     void onRequeued() {
         state = TransactionState.ANNOUNCED;
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/SessionProxyTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/SessionProxyTest.java
@@ -104,7 +104,7 @@
                         CallerConnection session = proxy.newSession();
                         session.attach(LineConnection.accepted(loop, accepted, session));
                         sent.await(TIMEOUT_SECONDS, TimeUnit.SECONDS);
-                        session.closeIfIdle();
+                        session.closeIfIdle(Duration.ZERO);
                         closed.complete(null);
                     } catch (IOException | InterruptedException e) {
                         closed.completeExceptionally(e);
