Wait for the owner of a session for as long as a statement may take

A daemon that relays a session gave its owner up after 4 s without a response and closed the caller's session without an answer, although the route allowed statements of 5 s.

Cause: the constant was meant to exceed every statement timeout, which the configuration sets. The owner answers a statement once the timeout of the statement is over, so the relaying daemon now waits for that and 1 s more, and never less than 4 s.

Evidence: SessionRelayTest plays an owner that answers after 4.5 s under a timeout of 10 s; the session is closed before and answered now.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerConnection.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerConnection.java
@@ -18,6 +18,7 @@
 import org.lavenderwick.core.account.KeyFingerprint;
 import org.lavenderwick.core.account.SessionAccess;
 import org.lavenderwick.core.account.SessionAccess.Verdict;
+import org.lavenderwick.core.catalog.DatabaseRoute;
 import org.lavenderwick.core.catalog.RouteOrigin;
 import org.lavenderwick.core.error.ErrorKind;
 import org.lavenderwick.core.error.Failure;
@@ -29,12 +30,6 @@
  */
 final class CallerConnection implements LineConnection.Listener, RelayedSession.Listener {
 
-    /** Time that an owner has to accept a session before the next owner is tried; allows for several round trips. */
-    private static final Duration ACCEPT_TIMEOUT = Duration.ofMillis(250);
-
-    /** Time without a response after which the owner of an accepted session is lost; exceeds any statement timeout. */
-    private static final Duration RESPONSE_TIMEOUT = Duration.ofSeconds(4);
-
     private static final Logger LOG = Logger.getLogger(CallerConnection.class);
 
     private final SessionProxy proxy;
@@ -310,16 +305,18 @@
     void checkTimeouts(Duration now, Duration transactionIdleTimeout) {
         if (localSession != null) {
             localSession.abortIfIdle(transactionIdleTimeout);
-        } else if (relayedSession != null && relayedSession.isAwaitingResponse()) {
-            Duration timeout = relayedSession.isAccepted() ? RESPONSE_TIMEOUT : ACCEPT_TIMEOUT;
-            if (lastActiveAt.plus(timeout).compareTo(now) < 0) {
-                RelayedSession timedOut = relayedSession;
-                timedOut.close();
-                onOwnerLost(timedOut.isAccepted());
-            }
+        } else if (relayedSession != null
+                && relayedSession.isOverdue(now.minus(lastActiveAt), this::statementTimeout)) {
+            RelayedSession timedOut = relayedSession;
+            timedOut.close();
+            onOwnerLost(timedOut.isAccepted());
         }
     }
 
+    private Duration statementTimeout() {
+        return proxy.routes().find(access.database()).fold(unknown -> Duration.ZERO, DatabaseRoute::statementTimeout);
+    }
+
     /**
      * Ends the session if the active configuration gives its key no access, once no response is outstanding.
      *
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/RelayedSession.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/RelayedSession.java
@@ -1,6 +1,8 @@
 package org.lavenderwick.daemon.session;
 
 import java.io.IOException;
+import java.time.Duration;
+import java.util.function.Supplier;
 
 import io.vavr.control.Either;
 import org.jboss.logging.Logger;
@@ -17,6 +19,15 @@
 
     private static final Logger LOG = Logger.getLogger(RelayedSession.class);
 
+    /** Time that an owner has to accept a session before the next owner is tried; allows for several round trips. */
+    private static final Duration ACCEPT_TIMEOUT = Duration.ofMillis(250);
+
+    /** Shortest time without a response after which the owner of an accepted session is lost. */
+    private static final Duration RESPONSE_TIMEOUT = Duration.ofSeconds(4);
+
+    /** Time for the owner to answer a statement whose own timeout is over. */
+    private static final Duration RESPONSE_MARGIN = Duration.ofSeconds(1);
+
     /** Receives the owner's response lines and the loss of the owner. */
     interface Listener {
         /** Called for each line that the owner sends. */
@@ -61,6 +72,21 @@
         return awaitingResponse;
     }
 
+    /**
+     * Returns whether a response is outstanding for longer than the owner may take. It answers each statement once the
+     * timeout of the statement is over.
+     *
+     * @param waited time since the last line from or to the owner
+     * @param statementTimeout returns the timeout of statements on the database of the session
+     */
+    boolean isOverdue(Duration waited, Supplier<Duration> statementTimeout) {
+        if (!awaitingResponse || !accepted) {
+            return awaitingResponse && waited.compareTo(ACCEPT_TIMEOUT) > 0;
+        }
+        return waited.compareTo(RESPONSE_TIMEOUT) > 0
+                && waited.compareTo(statementTimeout.get().plus(RESPONSE_MARGIN)) > 0;
+    }
+
     /** Returns whether the owner has sent any response. */
     boolean isAccepted() {
         return accepted;
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionRelayTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionRelayTest.java
@@ -7,6 +7,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -195,6 +196,56 @@
             thread.start();
         }
 
+        /** Accepts sessions, and answers the first statement of each after a delay. */
+        private void answerAfter(Duration delay) {
+            startThread(() -> {
+                try {
+                    while (true) {
+                        Socket connection = owner.accept();
+                        startThread(() -> answerAfter(delay, connection));
+                    }
+                } catch (IOException e) {
+                    // The test has ended.
+                }
+            });
+        }
+
+        private void answerAfter(Duration delay, Socket connection) {
+            try (connection) {
+                BufferedReader lines = new BufferedReader(
+                        new InputStreamReader(connection.getInputStream(), StandardCharsets.US_ASCII));
+                // Daemons open other connections to their peers, too.
+                if (!lines.readLine().startsWith("CONNECT ")) {
+                    return;
+                }
+                connection.getOutputStream().write("READY I -\r\n".getBytes(StandardCharsets.US_ASCII));
+                lines.readLine();
+                Thread.sleep(delay.toMillis());
+                connection.getOutputStream().write("COMPLETE d\r\nREADY I -\r\n".getBytes(StandardCharsets.US_ASCII));
+            } catch (IOException | InterruptedException e) {
+                // The test has ended.
+            }
+        }
+
+        private static void startThread(Runnable task) {
+            Thread thread = new Thread(task);
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        /** Guards against an owner that is given up while a statement may still take longer. */
+        @Test
+        void ownerMayTakeAsLongAsTheTimeoutOfAStatement() throws Exception {
+            OperatorStandin.configure(
+                    fleet.store(), 2, SessionFleet.DATABASE, "primary", SessionFleet.GROUP, 10_000, CONNECTION_LIMIT);
+            // Gives the relaying daemon time to apply the configuration.
+            Thread.sleep(300);
+            answerAfter(Duration.ofMillis(4500));
+            try (SessionClient client = SessionClient.open(relay.address(), SessionFleet.DATABASE)) {
+                assertThat(client.query("READ item").get(0)).isEqualTo("COMPLETE d");
+            }
+        }
+
         /** The lines after the first one must reach whoever serves the session in the end. */
         @ParameterizedTest
         @ValueSource(strings = {"OUTDATED\r\n", ""})
