Take the requests from the record that the failover closes

A failover whose first attempt to close the term met a change of the record read it again, but kept the candidate and the round of promises of the first reading: if the failover that it meant to continue had ended, it would not demote the primary of the open term and would insist on the candidate that it no longer knows to be one. Found by reading; no run showed it. Both are now made anew with each reading. PromotionRequestsTest covers the requests.

--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/FailoverRun.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/FailoverRun.java
@@ -179,7 +179,7 @@
         isTakeover |= found.phase() != TermPhase.OPEN && found.fencingToken() != lock.fencingToken();
         requests.continueAfter(found);
         requirements.replacing(term, Optional.of(found.primary()).filter(name -> !requests.mayHaveBegunTerm()));
-        promises = promises.restarted(requests);
+        promises = PromiseRound.of(members, suspect, endpoints).restarted(requests);
         Either<Failure, Long> closed = terms.close(found);
         if (closed.isLeft()) {
             return retry(closed.getLeft());
--- a/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/PromotionRequests.java
+++ b/lavenderwick-core/src/main/java/org/lavenderwick/core/failover/PromotionRequests.java
@@ -50,12 +50,10 @@
     void continueAfter(GroupTerm found) {
         closedTerm = found.term();
         highestTerm = found.highestRequestedTerm();
-        if (found.phase() == TermPhase.PROMOTING) {
-            latestCandidate = found.primary();
-            areOfEarlierRun = true;
-            if (highestTerm == closedTerm) {
-                highestTerm += UNRECORDED_REQUESTS;
-            }
+        areOfEarlierRun = found.phase() == TermPhase.PROMOTING;
+        latestCandidate = areOfEarlierRun ? found.primary() : null;
+        if (areOfEarlierRun && highestTerm == closedTerm) {
+            highestTerm += UNRECORDED_REQUESTS;
         }
         lowestConfirmingTerm = mayHaveBegunTerm() ? closedTerm + 1 : closedTerm;
     }
--- a/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/PromotionRequestsTest.java
+++ b/lavenderwick-core/src/test/java/org/lavenderwick/core/failover/PromotionRequestsTest.java
@@ -40,6 +40,15 @@
             assertThat(requests.highestTerm()).isEqualTo(6);
         }
 
+        /** Guards against a candidate that is kept although the failover that chose it has ended meanwhile. */
+        @Test
+        void isThatOfTheRecordIfItIsReadAgain() {
+            PromotionRequests requests = after(PROMOTING);
+            requests.continueAfter(OPEN);
+            assertThat(requests.highestTerm()).isEqualTo(4);
+            assertThat(requests.latestCandidate()).isEmpty();
+        }
+
         @Test
         void includesRequestsOfEarlierRuns() {
             assertThat(after(PROMOTING.withRequestedTerm(6)).highestTerm()).isEqualTo(6);
