Roll back the transaction of a closed connection before it stops counting

The stand-in removed a closed connection from its count before it rolled the transaction back, and the test reads the transactions as soon as the count is 0. With a pause of 50 ms in that gap (trial) the test fails with the same message; with the order reversed and the same pause it passes. The test is unchanged.

--- a/lavenderwick-standins/src/main/java/org/lavenderwick/standins/EndpointServer.java
+++ b/lavenderwick-standins/src/main/java/org/lavenderwick/standins/EndpointServer.java
@@ -211,11 +211,12 @@
         return silentBlocks.contains(exchange.sourceBlock()) || silentConnections.contains(exchange.connection());
     }
 
-    /** Ends the session of a connection: it no longer counts, and its transaction rolls back. */
+    /** Ends the session of a connection: its transaction rolls back, and then it no longer counts. */
     private void closed(Connection connection) {
-        EndpointSession session = sessions.remove(connection);
+        EndpointSession session = sessions.get(connection);
         if (session != null && session.markClosed()) {
             group.sessionClosed(name(), session);
+            sessions.remove(connection);
         }
     }
 
