--- a/review/src-3/review3/RegressCase.java
+++ b/review/src-3/review3/RegressCase.java
@@ -35,7 +35,7 @@
 
     private static final int SESSIONS_PER_DAEMON = 8;
 
-    private static final int ROUNDS = 2;
+    private static final int ROUNDS = 5;
 
     private static final long FREEZE_MILLIS = 1200;
 
