--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -4,5 +4,5 @@
 case_folder=$(dirname "$(readlink -f "${BASH_SOURCE[0]}")")
 cd "$case_folder/../.." || exit 2
 [ -d target/review-3 ] || { echo "run review/build-3.sh first" >&2; exit 2; }
-exec timeout --kill-after=5 112 java -Xmx1500m -cp "target/review-3:target/lib/*" review3.UploadCase \
+exec timeout --kill-after=5 112 java -Xmx3500m -cp "target/review-3:target/lib/*" review3.UploadCase \
   "$case_folder/record.txt" "${TROUBLE:-1}"
--- a/review/src-3/review3/StopCase.java
+++ b/review/src-3/review3/StopCase.java
@@ -25,9 +25,9 @@
 
     private static final String ROUTE = "orders";
 
-    private static final double SESSIONS_PER_SECOND = 60;
+    private static final double SESSIONS_PER_SECOND = 150;
 
-    private static final long LAST_STOP_MILLIS = 60_000;
+    private static final long LAST_STOP_MILLIS = 90_000;
 
     private static final long GRACE_MILLIS = 6000;
 
