--- a/review/src-3/review3/RegressCase.java
+++ b/review/src-3/review3/RegressCase.java
@@ -15,7 +15,7 @@
 import org.lavenderwick.platform.standin.OperatorStandin.Route;
 
 /**
- * Case 13: a configuration adds one route and removes another while one of three daemons is frozen for 1.2 s. CONFIG is
+ * Case 14: a configuration adds one route and removes another while one of three daemons is frozen for 1.2 s. CONFIG is
  * broken if a machine that has handled a request as only the new configuration allows later takes one, sent more than
  * {@code downgradeMs} after that, which runs on the removed route. Two of the daemons own the group, so the third relays
  * its sessions to them.
--- a/review/src-3/review3/Result.java
+++ b/review/src-3/review3/Result.java
@@ -1,11 +1,14 @@
 package review3;
 
-/** The result of a case, with the exit status of its script. */
+/**
+ * The result of a case, with the exit status of its program. That of a broken rule is none that Java uses itself; the
+ * scripts turn it into 1, and every other one but 0 into 2.
+ */
 public enum Result {
     /** The rule held. */
     HELD(0),
     /** The rule was broken. */
-    BROKEN(1),
+    BROKEN(10),
     /** The case could not be played. */
     FAILED(2);
 
--- a/review/src-3/review3/StopCase.java
+++ b/review/src-3/review3/StopCase.java
@@ -18,7 +18,7 @@
 import org.lavenderwick.platform.standin.OperatorStandin;
 
 /**
- * Case 11: three daemons of one zone serve sessions of one operation each, and two of them at a time get SIGTERM. LOST
+ * Case 12: three daemons of one zone serve sessions of one operation each, and two of them at a time get SIGTERM. LOST
  * is broken if a request that was passed to an endpoint gets no complete answer.
  */
 public final class StopCase {
--- a/review/src-3/review3/UploadCase.java
+++ b/review/src-3/review3/UploadCase.java
@@ -20,7 +20,7 @@
 import org.lavenderwick.platform.standin.OperatorStandin;
 
 /**
- * Case 12: many clients at once send writes of a size that the pages allow, each over two seconds. The rule of faults is
+ * Case 13: many clients at once send writes of a size that the pages allow, each over two seconds. The rule of faults is
  * broken if the processes of two daemons end by themselves three times each. Without trouble, the same clients send the
  * same writes, but only a few at a time.
  */
