--- a/review/src-3/review3/StopCase.java
+++ b/review/src-3/review3/StopCase.java
@@ -18,8 +18,8 @@
 import org.lavenderwick.platform.standin.OperatorStandin;
 
 /**
- * Case 12: three daemons of one zone serve sessions of one operation each, and two of them at a time get SIGTERM. LOST
- * is broken if a request that was passed to an endpoint gets no complete answer.
+ * Case 12: three daemons of one zone serve sessions of one operation each, and two of them get SIGTERM in turn, 1.3 s apart.
+ * LOST is broken if a request that was passed to an endpoint gets no complete answer.
  */
 public final class StopCase {
 
@@ -29,6 +29,9 @@
 
     private static final long LAST_STOP_MILLIS = 90_000;
 
+    /** The pause between two stops in the site file. */
+    private static final long GAP_MILLIS = 1300;
+
     private static final long GRACE_MILLIS = 6000;
 
     /** A request whose connection ended without a complete answer. */
@@ -97,23 +100,28 @@
             Thread.sleep(6500);
             return;
         }
-        for (Fleet.Daemon daemon : new Fleet.Daemon[] {first, second}) {
-            stoppedAt.put(daemon, record.now());
-            record.line("SIGTERM to %s", daemon);
-            daemon.process().destroy();
-        }
-        for (Fleet.Daemon daemon : new Fleet.Daemon[] {first, second}) {
-            int status = daemon.process().waitFor();
-            record.line("%s has ended with status %d", daemon, status);
-        }
-        Thread.sleep(200);
-        first.start();
-        second.start();
+        stop(first);
+        Thread.sleep(GAP_MILLIS);
+        stop(second);
+        restart(first);
+        restart(second);
         first.awaitServing(ROUTE);
         second.awaitServing(ROUTE);
         Thread.sleep(2500);
     }
 
+    private void stop(Fleet.Daemon daemon) {
+        stoppedAt.put(daemon, record.now());
+        record.line("SIGTERM to %s", daemon);
+        daemon.process().destroy();
+    }
+
+    private void restart(Fleet.Daemon daemon) throws IOException, InterruptedException {
+        record.line("%s has ended with status %d", daemon, daemon.process().waitFor());
+        Thread.sleep(200);
+        daemon.start();
+    }
+
     private void generate(Balancer balancer, ExecutorService threads) {
         Random random = new Random(51);
         for (int number = 1; sending.get(); number++) {
