Keep the log of a session daemon until its process ends

What operators saw: the log of a daemon that got SIGTERM ended with "Stopping: reporting not ready and draining open sessions.".

Cause: the stop ran in a shutdown hook. LogManager resets its handlers in a hook of its own, which the runtime starts at the same time, so later log records are lost.

SessionProcessTest fails before the change in both of its cases.

SIGTERM and SIGINT now have handlers, as SIGHUP had: the runtime does not begin to shut down before the drain is over, so the log stays open. The handlers are installed before the daemon accepts its first session; until now a signal in between ended the process at once. A further signal has no effect, as before.

Result: SessionProcessTest passes, with the drain's last line in the log.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/Main.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/Main.java
@@ -3,8 +3,10 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.ToIntFunction;
 import java.util.stream.Collectors;
 
@@ -134,19 +136,38 @@
 
     private static int serveSessions(SessionSettings settings, Path file) {
         ConsoleLog.install();
-        SessionDaemon daemon;
+        CompletableFuture<SessionDaemon> started = new CompletableFuture<>();
+        CompletableFuture<Runnable> reload = new CompletableFuture<>();
+        // Before the daemon accepts its first session: the runtime's own handlers would cut the requests.
+        handleSignals(started, reload);
         try {
-            daemon = SessionDaemon.start(settings);
+            started.complete(SessionDaemon.start(settings));
         } catch (IOException e) {
             return fail(FAILED, "the daemon does not start: " + e.getMessage());
         }
-        Runnable reload = daemon.watchSettings(file);
-        // SIGHUP reloads the settings; without a handler it would terminate the process.
-        Signal.handle(new Signal("HUP"), signal -> reload.run());
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "stop"));
+        reload.complete(started.join().watchSettings(file));
         return waitForStop();
     }
 
+    /**
+     * Makes SIGTERM and SIGINT stop the daemon, and SIGHUP reload its settings. The first signal to stop counts; the
+     * later ones have no effect.
+     *
+     * <p>A shutdown hook would lose the log of the stop, because the runtime resets its loggers when it begins to shut
+     * down.
+     */
+    private static void handleSignals(CompletableFuture<SessionDaemon> started, CompletableFuture<Runnable> reload) {
+        AtomicBoolean stopping = new AtomicBoolean();
+        for (String name : List.of("TERM", "INT")) {
+            Signal.handle(new Signal(name), signal -> {
+                if (stopping.compareAndSet(false, true)) {
+                    stop(started.join());
+                }
+            });
+        }
+        Signal.handle(new Signal("HUP"), signal -> reload.thenAccept(Runnable::run));
+    }
+
     private static void stop(SessionDaemon daemon) {
         try {
             daemon.stop();
