Decide on the traffic thread when a stopping daemon ends

Cause: SessionDaemon.stop decided on its own thread, from a number that the traffic thread set once a tick, that no session was open, and the process ended while the traffic thread went on accepting sessions and sending statements.

GracefulStop now holds both decisions on the traffic thread, in one order. It ends the event loop only after it has accepted every connection that has arrived and found no session open and no last answer unsent, and closes the listening sockets before it does so. The loop closes all of its sockets when it ends; then the process ends. So nothing is sent to an endpoint after the decision, a session counts from its accept on, and whoever connects later is refused at once.

Ways that were weighed: to end as early as before at any moment without a session; not to end before operations are rejected, which makes each stop last half of the stop time; and the one taken, which ends early only if no session has arrived for 400 ms. While sessions arrive, the platform has no better daemon for them, so they are served as long as operations are accepted, and rejected as not run after that.

On the same path: an answer that was queued when its session had ended counts until it is sent; a connection whose first line has not arrived yet is no longer closed as idle before 200 ms; a session whose socket could not be set up counted as open for ever.

Result: SessionStopTest.sessionsThatArriveAfterTheEndAreRefused fails before (the session is served after the end of the stop) and passes.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
@@ -39,7 +39,8 @@
     /** Timeout of promotion requests. */
     private static final Duration PROMOTION_TIMEOUT = Duration.ofMillis(1500);
 
-    private static final Duration DRAIN_POLL_INTERVAL = Duration.ofMillis(20);
+    /** Time beyond the schedule of a stop after which a traffic thread that does not end is left behind. */
+    private static final Duration STOP_MARGIN = Duration.ofMillis(100);
 
     private static final Logger LOG = Logger.getLogger(SessionDaemon.class);
 
@@ -48,7 +49,6 @@
     private final EventLoop loop;
     private final SessionProxy proxy;
     private final FleetControl control;
-    private final MonotonicClock clock;
     private volatile boolean stopping;
     private Thread controlThread;
 
@@ -57,14 +57,12 @@
             AtomicReference<SessionSettings> currentSettings,
             EventLoop loop,
             SessionProxy proxy,
-            FleetControl control,
-            MonotonicClock clock) {
+            FleetControl control) {
         this.settings = settings;
         this.currentSettings = currentSettings;
         this.loop = loop;
         this.proxy = proxy;
         this.control = control;
-        this.clock = clock;
     }
 
     /**
@@ -103,7 +101,7 @@
                 settings.changeBound(),
                 settings.rateLimits().isPresent(),
                 proxy);
-        SessionDaemon daemon = new SessionDaemon(settings, currentSettings, loop, proxy, control, clock);
+        SessionDaemon daemon = new SessionDaemon(settings, currentSettings, loop, proxy, control);
         Acceptor.acceptSessions(loop, settings.callerAddress(), proxy);
         Acceptor.acceptPeers(loop, settings.peerAddress(), proxy);
         Acceptor.acceptReadinessProbes(
@@ -148,26 +146,19 @@
     }
 
     /**
-     * Reports the daemon as not ready, drains its sessions, and returns when all of them have ended or the stop time,
-     * less a reserve, is over.
+     * Reports the daemon as not ready and drains its sessions. Returns when the traffic thread has ended and closed all
+     * sockets, which it does once all sessions have ended or the stop time, less a reserve, is over.
      */
     void stop() throws InterruptedException {
-        Duration startedAt = clock.now();
         StopSchedule schedule = StopSchedule.of(settings.stopTime());
         stopping = true;
         LOG.info("[daemon] Stopping: reporting not ready and draining open sessions.");
         loop.execute(() -> proxy.startDrain(schedule));
         control.leave();
-        while (clock.now().minus(startedAt).compareTo(schedule.end()) < 0) {
-            boolean mayBeEmpty = clock.now()
-                            .minus(startedAt)
-                            .compareTo(schedule.firstClose().plus(DRAIN_POLL_INTERVAL.multipliedBy(2)))
-                    > 0;
-            if (mayBeEmpty && proxy.openSessions() == 0) {
-                break;
-            }
-            Thread.sleep(DRAIN_POLL_INTERVAL.toMillis());
+        if (!loop.awaitEnd(schedule.end().plus(STOP_MARGIN))) {
+            LOG.warnf(
+                    "[daemon] The traffic thread did not end within %d ms.",
+                    schedule.end().toMillis());
         }
-        LOG.infof("[daemon] Drain ended with %d open sessions; stopping.", proxy.openSessions());
     }
 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/Acceptor.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/Acceptor.java
@@ -31,21 +31,29 @@
         this.handler = handler;
     }
 
-    private static void listen(EventLoop loop, InetSocketAddress address, ConnectionHandler handler)
+    private static Acceptor listen(EventLoop loop, InetSocketAddress address, ConnectionHandler handler)
             throws IOException {
         ServerSocketChannel server = ServerSocketChannel.open();
         server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         server.bind(address, BACKLOG);
-        loop.register(server, SelectionKey.OP_ACCEPT, new Acceptor(server, handler));
+        Acceptor acceptor = new Acceptor(server, handler);
+        loop.register(server, SelectionKey.OP_ACCEPT, acceptor);
+        return acceptor;
     }
 
     /** Listens for connections of callers at an address. */
     public static void acceptSessions(EventLoop loop, InetSocketAddress address, SessionProxy proxy)
             throws IOException {
-        listen(loop, address, channel -> {
+        Acceptor acceptor = listen(loop, address, channel -> {
             CallerConnection session = proxy.newSession();
-            session.attach(LineConnection.accepted(loop, channel, session));
+            try {
+                session.attach(LineConnection.accepted(loop, channel, session));
+            } catch (IOException e) {
+                proxy.onSessionEnded(session);
+                throw e;
+            }
         });
+        proxy.gracefulStop().addSessionAcceptor(acceptor);
     }
 
     /** Listens for connections of other daemons at an address. */
@@ -62,8 +70,30 @@
         listen(loop, address, channel -> readiness.handle(loop, channel));
     }
 
+    /** Accepts the connections that have arrived, without waiting for the event loop to do so. */
+    void acceptArrived() {
+        try {
+            accept();
+        } catch (IOException e) {
+            onFailure(e.getMessage());
+        }
+    }
+
+    /** Closes the listening socket. Connections that arrive from now on are refused. */
+    void close() {
+        try {
+            server.close();
+        } catch (IOException e) {
+            LOG.debugf("[session] Failed to close a listening socket: %s", e.getMessage());
+        }
+    }
+
     @Override
     public void onReady(SelectionKey key) throws IOException {
+        accept();
+    }
+
+    private void accept() throws IOException {
         for (SocketChannel channel = server.accept(); channel != null; channel = server.accept()) {
             try {
                 handler.handle(channel);
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerConnection.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerConnection.java
@@ -63,6 +63,7 @@
         this.relayedFromPeer = relayedFromPeer;
         this.origin = origin;
         this.relayedKey = relayedKey;
+        this.lastActiveAt = loop.now();
     }
 
     /** Returns the connection of a caller that has not sent any message yet. */
@@ -351,8 +352,8 @@
         line.readArrived();
         if (localSession != null) {
             localSession.closeIfIdle(idleTime);
-        } else if (relayedSession == null
-                || (!relayedSession.isBusy() && loop.now().minus(lastActiveAt).compareTo(idleTime) >= 0)) {
+        } else if ((relayedSession == null || !relayedSession.isBusy())
+                && loop.now().minus(lastActiveAt).compareTo(idleTime) >= 0) {
             endRelay();
             line.closeAfterSending();
         }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EventLoop.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/EventLoop.java
@@ -7,11 +7,14 @@
 import java.nio.channels.Selector;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 import org.jboss.logging.Logger;
 import org.lavenderwick.core.time.MonotonicClock;
@@ -53,6 +56,9 @@
     private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BUFFER_BYTES);
     private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
     private final Set<LineConnection> connectionsToFlush = new LinkedHashSet<>();
+    private final Set<LineConnection> closingConnections = new HashSet<>();
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private final Object wakeupLock = new Object();
     private Ticker ticker = now -> false;
     private Runnable wakeupAction = () -> {};
     private Duration now;
@@ -93,13 +99,35 @@
     /** Runs a task on the thread of the loop. May be called from any thread. */
     public void execute(Runnable task) {
         tasks.add(task);
-        selector.wakeup();
+        wakeUp();
     }
 
-    /** Stops the loop after the current iteration. May be called from any thread. */
+    /**
+     * Stops the loop after the current iteration and closes its channels. Has no effect after the first call. May be
+     * called from any thread.
+     */
     public void stop() {
         stopped = true;
-        selector.wakeup();
+        wakeUp();
+    }
+
+    /**
+     * Waits until the loop has stopped and closed its channels. May be called from any thread but that of the loop.
+     *
+     * @return whether it has; false if the time is over
+     * @throws InterruptedException if the thread is interrupted while it waits
+     */
+    public boolean awaitEnd(Duration timeout) throws InterruptedException {
+        return ended.await(timeout.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    /** Wakes up the selector unless it is closed: its descriptor may belong to another channel then. */
+    private void wakeUp() {
+        synchronized (wakeupLock) {
+            if (selector.isOpen()) {
+                selector.wakeup();
+            }
+        }
     }
 
     /** Registers a channel for selection operations and makes it non-blocking. */
@@ -114,6 +142,21 @@
         return readBuffer;
     }
 
+    /** Records that a connection closes as soon as its queued lines are sent. */
+    void onClosing(LineConnection connection) {
+        closingConnections.add(connection);
+    }
+
+    /** Records that a connection is closed. */
+    void onClosed(LineConnection connection) {
+        closingConnections.remove(connection);
+    }
+
+    /** Returns whether a connection that closes has queued lines that are not sent yet. */
+    boolean hasClosingConnections() {
+        return !closingConnections.isEmpty();
+    }
+
     /** Schedules a flush of a connection for the end of the current iteration. */
     void scheduleFlush(LineConnection connection) {
         connectionsToFlush.add(connection);
@@ -159,11 +202,14 @@
                 LOG.debugf("[session] Failed to close a channel of the event loop: %s", e);
             }
         }
-        try {
-            selector.close();
-        } catch (IOException e) {
-            LOG.debugf("[session] Failed to close the selector of the event loop: %s", e);
+        synchronized (wakeupLock) {
+            try {
+                selector.close();
+            } catch (IOException e) {
+                LOG.debugf("[session] Failed to close the selector of the event loop: %s", e);
+            }
         }
+        ended.countDown();
     }
 
     private void runTasks() {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/LineConnection.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/LineConnection.java
@@ -256,8 +256,11 @@
 
     /** Closes the connection once all queued lines are sent. The listener receives no further lines. */
     void closeAfterSending() {
-        closing = true;
-        loop.scheduleFlush(this);
+        if (!closed) {
+            closing = true;
+            loop.onClosing(this);
+            loop.scheduleFlush(this);
+        }
     }
 
     /** Closes the connection immediately. The listener receives no further events. */
@@ -277,6 +280,7 @@
             return;
         }
         closed = true;
+        loop.onClosed(this);
         key.cancel();
         try {
             channel.close();
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionDrain.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionDrain.java
@@ -21,6 +21,12 @@
      */
     private static final Duration MIN_IDLE_TIME = Duration.ofMillis(200);
 
+    /**
+     * Time without a new session after which the platform sends no more sessions here. Until then it may have no other
+     * daemon to send them to, so the daemon serves them for as long as it accepts operations.
+     */
+    private static final Duration ARRIVAL_QUIET_TIME = Duration.ofMillis(400);
+
     private final Duration startedAt;
     private final StopSchedule schedule;
     private final DoubleSupplier random;
@@ -48,6 +54,22 @@
         return isPast(schedule.lastStart(), now);
     }
 
+    /**
+     * Returns whether the daemon may end if no session is open.
+     *
+     * @param lastArrivalAt when the last session of a caller was accepted
+     */
+    boolean mayEnd(Duration now, Duration lastArrivalAt) {
+        return isAfterLastOperation(now)
+                || (isPast(schedule.firstClose(), now)
+                        && now.minus(lastArrivalAt).compareTo(ARRIVAL_QUIET_TIME) >= 0);
+    }
+
+    /** Returns whether the daemon ends now, whatever is open. */
+    boolean isAtEnd(Duration now) {
+        return isPast(schedule.end(), now);
+    }
+
     /** Ends what is due by the given time. */
     void tick(Duration now, Collection<CallerConnection> sessions) {
         if (!isPast(schedule.firstClose(), now)) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionProxy.java
@@ -66,15 +66,14 @@
     private final Set<CallerConnection> unauthorizedSessions = new HashSet<>();
     private FleetSnapshot snapshot = FleetSnapshot.EMPTY;
     private Duration evidenceDiscardedUntil = Duration.ofSeconds(-1);
-    private SessionDrain drain;
     private volatile Set<EndpointName> unresponsiveEndpoints = ImmutableSet.of();
     private volatile Map<GroupName, ProvenPrimary> primariesProvenByEndpoints = ImmutableMap.of();
     private volatile Map<GroupName, ProvenPrimary> primariesReportedByEndpoints = ImmutableMap.of();
     private volatile boolean busy;
-    private volatile int openSessions;
     private final RelayCandidates relayCandidates;
     private final UnresponsiveOwners<Peer> unresponsiveOwners = UnresponsiveOwners.create();
     private final OperationStart operationStart;
+    private final GracefulStop gracefulStop;
 
     /**
      * Creates a proxy without sessions and registers it with the event loop.
@@ -112,12 +111,14 @@
         this.relayCandidates = new RelayCandidates(daemon, domain, new Random(random.nextLong()));
         this.operationStart = new OperationStart(rateLimits.map(
                 bounds -> new RateLimiter(loop, daemon, domain, bounds, random, this::checkForClockJump)));
+        this.gracefulStop = new GracefulStop(loop, random);
         loop.onTick(this);
         loop.onWakeup(this::checkForClockJump);
     }
 
     /** Returns a new session of a caller that is connected to this daemon. */
     CallerConnection newSession() {
+        gracefulStop.onSessionArrived();
         return register(CallerConnection.ofCaller(this, callerCodec, endpointCodec, loop));
     }
 
@@ -271,14 +272,21 @@
         unauthorizedSessions.remove(session);
     }
 
-    /** Starts to close all sessions for a graceful stop; has no effect if they are being closed already. */
+    /**
+     * Starts to close all sessions for a graceful stop, at the end of which the event loop stops; has no effect if they
+     * are being closed already.
+     */
     public void startDrain(StopSchedule schedule) {
-        drain = drain == null ? new SessionDrain(loop.now(), schedule, random::nextDouble) : drain;
+        gracefulStop.begin(schedule);
+    }
+
+    GracefulStop gracefulStop() {
+        return gracefulStop;
     }
 
     /** Returns whether operations and sessions that arrive now are rejected because the daemon stops. */
     boolean rejectsOperations() {
-        return drain != null && drain.isAfterLastOperation(loop.now());
+        return gracefulStop.rejectsOperations();
     }
 
     @Override
@@ -327,11 +335,6 @@
         return busy;
     }
 
-    /** Returns the number of open sessions. May be called from any thread. */
-    public int openSessions() {
-        return openSessions;
-    }
-
     private void checkForClockJump() {
         clockJumpDetector.jump().ifPresent(length -> {
             LOG.warn("[session] The clocks of the host parted; evidence of terms is discarded and collected again.");
@@ -389,12 +392,9 @@
         Duration transactionIdleTimeout =
                 snapshot.catalog().map(Catalog::transactionIdleTimeout).orElse(DEFAULT_IDLE_TIMEOUT);
         List.copyOf(sessions).forEach(session -> checkTimeouts(session, now, transactionIdleTimeout));
-        if (drain != null) {
-            drain.tick(now, sessions);
-        }
         feed.tick(now);
         hasPending |= operationStart.tick(now);
-        openSessions = sessions.size();
-        return hasPending || drain != null;
+        gracefulStop.tick(now, sessions);
+        return hasPending || gracefulStop.hasBegun();
     }
 }
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionStopTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionStopTest.java
@@ -1,6 +1,7 @@
 package org.lavenderwick.daemon;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -19,6 +20,7 @@
 import org.lavenderwick.platform.standin.SessionClient;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
 
 /** Stops daemons whose sessions are in use, over real sockets. The stop time of a daemon is 6 s. */
 class SessionStopTest {
@@ -128,6 +130,14 @@
             assertAnswered(sessions, answer -> isAbort(answer) || isRejection(answer));
         }
 
+        /** Guards against a daemon that passes on the requests of sessions that arrive after its decision to end. */
+        @Test
+        void sessionsThatArriveAfterTheEndAreRefused() throws Exception {
+            member.daemon().stop();
+            assertThatExceptionOfType(ConnectException.class)
+                    .isThrownBy(() -> SessionClient.open(member.address(), SessionFleet.DATABASE));
+        }
+
         /** Guards against a caller that is not told what is known of a statement that outlasts the daemon. */
         @ParameterizedTest
         @CsvSource({"WRITE a 1, ERROR INDOUBT", "READ a, ERROR TIMEOUT"})
