Keep a session that has had no request yet for longer at a stop

What callers saw: a caller that opened a session at a stopping daemon and sent its one request 0.2 s to 0.3 s later found the connection closed, without an answer. No endpoint had received the request, but the caller cannot know that.

Cause: from 2.4 s after the signal on, a session without a request for 200 ms was closed as idle. That limit is meant for a caller that has had its answers and may reconnect; one that has only opened its session is about to use it.

A session without any request is now closed after 500 ms only. From half of the stop time on its request is rejected as not run, so a stop lasts 0.5 s longer at most, and only if a session opens at the last moment.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerConnection.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerConnection.java
@@ -2,11 +2,6 @@
 
 import java.io.IOException;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.Deque;
-import java.util.List;
 import java.util.Optional;
 
 import org.jboss.logging.Logger;
@@ -22,7 +17,6 @@
 import org.lavenderwick.core.catalog.RouteOrigin;
 import org.lavenderwick.core.error.ErrorKind;
 import org.lavenderwick.core.error.Failure;
-import org.lavenderwick.core.model.GroupName;
 
 /**
  * A caller's connection. The group of the database named in the first message decides where the session is served: by
@@ -39,14 +33,14 @@
     private final boolean relayedFromPeer;
     private final Optional<RouteOrigin> origin;
     private final Optional<RelayProtocol.RelayedKey> relayedKey;
-    private final Deque<Peer> untriedOwners = new ArrayDeque<>();
-    private String relayOpening;
+    private UntriedOwners untriedOwners = UntriedOwners.none();
     private DatabaseAccess access;
     private LineConnection line;
     private CallerSession localSession;
     private RelayedSession relayedSession;
     private Peer owner;
     private Duration lastActiveAt;
+    private boolean unused = true;
 
     private CallerConnection(
             SessionProxy proxy,
@@ -98,12 +92,15 @@
 
     @Override
     public void onLine(String text) {
+        if (localSession == null && relayedSession == null) {
+            openSession(text);
+            return;
+        }
+        unused = false;
         if (localSession != null) {
             localSession.onLine(text);
-        } else if (relayedSession != null) {
-            forward(text);
         } else {
-            openSession(text);
+            forward(text);
         }
     }
 
@@ -179,8 +176,8 @@
         } else if (access == null) {
             newLocalSession().onLine(text);
         } else {
-            if (!relayedFromPeer) {
-                selectOwners(text);
+            if (!relayedFromPeer && access.open().isEmpty()) {
+                untriedOwners = UntriedOwners.find(proxy, codec, access, text, loop.now());
             }
             openAtNextOwner();
         }
@@ -197,27 +194,6 @@
                 && !access.rules().grant(access.key()).contains(account);
     }
 
-    private void selectOwners(String firstLine) {
-        if (access.open().isPresent()) {
-            return;
-        }
-        GroupName group = proxy.routes().find(access.database()).get().group();
-        RouteOrigin relayOrigin = new RouteOrigin(proxy.catalog().orElseThrow().version(), group);
-        List<Peer> owners = new ArrayList<>(proxy.relayCandidates(group, access.account()));
-        if (access.account().isPresent()) {
-            owners.sort(Comparator.comparing(peer -> proxy.unresponsiveOwners().isUnresponsive(peer, loop.now())));
-        }
-        untriedOwners.addAll(owners);
-        if (!untriedOwners.isEmpty()) {
-            relayOpening = access.rules().accounts().isEmpty()
-                    ? RelayProtocol.format(firstLine, relayOrigin)
-                    : RelayProtocol.format(
-                            codec.connect(access.database()),
-                            relayOrigin,
-                            new RelayProtocol.RelayedKey(access.key(), access.account()));
-        }
-    }
-
     private CallerSession newLocalSession() {
         localSession = new CallerSession(proxy, codec, loop, () -> proxy.onSessionEnded(this));
         localSession.attach(line);
@@ -227,34 +203,39 @@
     /** Relays the session to the next owner that can be connected to, or serves it here if no owner is left. */
     private void openAtNextOwner() {
         relayedSession = null;
-        while (relayedSession == null && !untriedOwners.isEmpty()) {
-            Peer peer = untriedOwners.removeFirst();
-            try {
-                RelayedSession next = new RelayedSession(endpointCodec, this);
-                next.open(loop, peer, relayOpening);
-                relayedSession = next;
-                owner = peer;
-                lastActiveAt = loop.now();
-                proxy.unresponsiveOwners().onRequestSent(owner, lastActiveAt);
-                // Further lines wait until an owner has accepted the session, because another one may still take over.
-                line.pause();
-            } catch (IOException e) {
-                LOG.debugf(
-                        "[session] Could not connect to the owner at %s: %s; trying the next owner, if any.",
-                        peer.address(), e.getMessage());
+        for (Optional<Peer> next = untriedOwners.next(); next.isPresent(); next = untriedOwners.next()) {
+            if (openAt(next.get())) {
+                return;
             }
         }
-        if (relayedSession == null) {
-            relayOpening = null;
-            newLocalSession().open(access);
-            line.resume();
+        newLocalSession().open(access);
+        line.resume();
+    }
+
+    /** Starts to open the session at an owner; returns false if the connection fails at once. */
+    private boolean openAt(Peer peer) {
+        RelayedSession opened = new RelayedSession(endpointCodec, this);
+        try {
+            opened.open(loop, peer, untriedOwners.opening());
+        } catch (IOException e) {
+            LOG.debugf(
+                    "[session] Could not connect to the owner at %s: %s; trying the next owner, if any.",
+                    peer.address(), e.getMessage());
+            return false;
         }
+        relayedSession = opened;
+        owner = peer;
+        lastActiveAt = loop.now();
+        proxy.unresponsiveOwners().onRequestSent(owner, lastActiveAt);
+        // Further lines wait until an owner has accepted the session, because another one may still take over.
+        line.pause();
+        return true;
     }
 
     @Override
     public void onResponseLine(String text) {
         lastActiveAt = loop.now();
-        relayOpening = null;
+        untriedOwners = UntriedOwners.none();
         proxy.unresponsiveOwners().onResponse(owner);
         line.send(text);
         line.resume();
@@ -347,6 +328,11 @@
         onClosed("the daemon closed the session after an unexpected error");
     }
 
+    /** Returns whether the caller has sent nothing yet but the line that opens the session. */
+    boolean isUnused() {
+        return unused;
+    }
+
     /** Closes the session if it has had neither a running statement nor a transaction for a time. */
     void closeIfIdle(Duration idleTime) {
         line.readArrived();
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionDrain.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/SessionDrain.java
@@ -21,6 +21,12 @@
      */
     private static final Duration MIN_IDLE_TIME = Duration.ofMillis(200);
 
+    /**
+     * Time without a request after which a session that has had none yet is closed. Its caller has opened it for a
+     * request that is still to come, and learns only then that the session is gone.
+     */
+    private static final Duration MIN_UNUSED_TIME = Duration.ofMillis(500);
+
     /**
      * Time without a new session after which the platform sends no more sessions here. Until then it may have no other
      * daemon to send them to, so the daemon serves them for as long as it accepts operations.
@@ -88,7 +94,7 @@
                 session.abortTransaction();
             }
             if (isPast(closeFrom.computeIfAbsent(session, added -> drawCloseTime()), now)) {
-                session.closeIfIdle(MIN_IDLE_TIME);
+                session.closeIfIdle(session.isUnused() ? MIN_UNUSED_TIME : MIN_IDLE_TIME);
             }
         }
     }
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/ArrivalStopSoakTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/ArrivalStopSoakTest.java
@@ -23,7 +23,8 @@
 /**
  * Stops and starts the daemons of a failure domain, as processes, by signals in series that overlap, while sessions of
  * one operation arrive up to the end of each process. Guards against requests that a stopping daemon passes on and does
- * not answer, and against rejections as not run that are not true.
+ * not answer, against rejections as not run that are not true, and against sessions that are closed just before their
+ * first request.
  *
  * <p>{@code -Dsoak.arrivals.seeds} sets the number of seeds, {@code -Dsoak.arrivals.seed} the first of them.
  */
@@ -38,6 +39,12 @@
     /** Probes in a row without a 200 after which the platform sends a daemon no more connections. */
     private static final int MAX_MISSES = 2;
 
+    /** Longest pause of a caller between the opening of its session and its first request. */
+    private static final int MAX_PAUSE_MILLIS = 250;
+
+    /** Shortest stop time in which a session that opens at the last moment has the time for its first request. */
+    private static final int MIN_STOP_SECONDS_FOR_UNUSED_SESSIONS = 2;
+
     private static final Duration PROBE_INTERVAL = Duration.ofSeconds(1);
 
     private final List<String> violations = new CopyOnWriteArrayList<>();
@@ -56,7 +63,7 @@
         // The first numbers of generators with small seeds that follow each other hardly differ without the mixing.
         Random random = new Random(new SplittableRandom(seed).nextLong());
         int stopSeconds = List.of(6, 6, 2, 1).get(random.nextInt(4));
-        int maxPauseMillis = random.nextInt(3) == 0 ? 300 : 0;
+        int maxPauseMillis = random.nextInt(3) == 0 ? MAX_PAUSE_MILLIS : 0;
         try (StoreStandin store = StoreStandin.start();
                 DatabaseStandin database = DatabaseStandin.start(SessionFleet.GROUP, SessionFleet.ENDPOINTS, store)) {
             configure(store, 1);
@@ -85,6 +92,9 @@
             balancer.join();
             System.out.printf("arrivals: seed %d, stop time %d s, %s%n", seed, stopSeconds, callers.outcomes());
             violations.addAll(callers.violations(database));
+            if (stopSeconds >= MIN_STOP_SECONDS_FOR_UNUSED_SESSIONS) {
+                callers.cutFirstRequests().forEach(id -> violations.add("first request of a session was cut: " + id));
+            }
             assertThat(violations).as("seed %d", seed).isEmpty();
             assertThat(callers.outcomes().getOrDefault("success", 0)).isGreaterThan(100);
         } finally {
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/ArrivingCallers.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/ArrivingCallers.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -23,12 +24,16 @@
  */
 final class ArrivingCallers implements Runnable {
 
+    /** Longest pause between the opening of a session and its first request for which the session is kept open. */
+    private static final Duration KEPT_UNUSED = Duration.ofMillis(300);
+
     private final Supplier<InetSocketAddress> daemons;
     private final Random random;
     private final double arrivalsPerSecond;
     private final int maxPauseMillis;
     private final ExecutorService threads = Executors.newCachedThreadPool();
     private final Set<String> cutRequests = ConcurrentHashMap.newKeySet();
+    private final Set<String> cutFirstRequests = ConcurrentHashMap.newKeySet();
     private final Set<String> rejectedValues = ConcurrentHashMap.newKeySet();
     private final Map<String, Integer> outcomes = new TreeMap<>();
     private volatile boolean stopped;
@@ -78,20 +83,22 @@
     /** Opens a session, sends one operation and returns a word for its outcome. */
     private String operate(InetSocketAddress daemon, String id, int pauseMillis, List<String> operation) {
         String requestId = "";
+        boolean isPrompt = false;
         try (SessionClient client = SessionClient.connect(daemon)) {
             client.send("CONNECT " + SessionFleet.DATABASE + " " + id);
             String opened = client.answer().get(0);
             if (!opened.startsWith("READY ")) {
                 return opened.equals("closed") ? "closed before it opened" : "rejected";
             }
+            long openedAtNanos = System.nanoTime();
             Thread.sleep(pauseMillis);
+            isPrompt = System.nanoTime() - openedAtNanos < KEPT_UNUSED.toNanos();
             for (int step = 0; step < operation.size(); step++) {
                 requestId = id + "." + step;
                 List<String> answer = client.query(requestId, operation.get(step));
                 String result = answer.get(0);
                 if (!answer.get(answer.size() - 1).startsWith("READY ")) {
-                    cutRequests.add(requestId);
-                    return "cut";
+                    return recordCut(requestId, isPrompt);
                 } else if (result.startsWith("ERROR ")) {
                     recordFailure(id, result);
                     return result.split(" ")[1];
@@ -103,13 +110,20 @@
             if (requestId.isEmpty()) {
                 return "not accepted";
             }
-            cutRequests.add(requestId);
-            return "cut";
+            return recordCut(requestId, isPrompt);
         } catch (InterruptedException e) {
             return "interrupted";
         }
     }
 
+    private String recordCut(String requestId, boolean isPrompt) {
+        cutRequests.add(requestId);
+        if (isPrompt && requestId.endsWith(".0")) {
+            cutFirstRequests.add(requestId);
+        }
+        return "cut";
+    }
+
     private void recordFailure(String value, String result) {
         if (result.startsWith("ERROR BUSY") || result.startsWith("ERROR ABORTED")) {
             rejectedValues.add(value);
@@ -132,6 +146,11 @@
         return new TreeMap<>(outcomes);
     }
 
+    /** Returns the first requests of sessions that were sent soon after the session had opened, and were cut. */
+    Set<String> cutFirstRequests() {
+        return Set.copyOf(cutFirstRequests);
+    }
+
     /** Returns the requests that were passed to an endpoint and cut, and the values rejected as not run but committed. */
     List<String> violations(DatabaseStandin database) {
         List<String> violations = new ArrayList<>();
