End the process at once when the drain of a session daemon is over

What callers saw: a daemon was gone some 0.3 s later than it had decided to end. Until then its clients' connections and the queue of new ones stood open with nobody behind them, and each planned restart took 0.3 s longer.

Cause: the runtime waits up to 300 ms at its end for threads that are in system calls. The thread that watches the store and the one that reads the feed of another daemon always are.

The stop now breaks off the calls of the store client and closes the feed before it ends the process, so no thread of the daemon is in a system call then.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/SessionDaemon.java
@@ -48,6 +48,7 @@
     private final AtomicReference<SessionSettings> currentSettings;
     private final EventLoop loop;
     private final SessionProxy proxy;
+    private final StoreClient store;
     private final FleetControl control;
     private volatile boolean stopping;
     private Thread controlThread;
@@ -57,11 +58,13 @@
             AtomicReference<SessionSettings> currentSettings,
             EventLoop loop,
             SessionProxy proxy,
+            StoreClient store,
             FleetControl control) {
         this.settings = settings;
         this.currentSettings = currentSettings;
         this.loop = loop;
         this.proxy = proxy;
+        this.store = store;
         this.control = control;
     }
 
@@ -88,11 +91,12 @@
                 settings.changeBound(),
                 settings.rateLimits(),
                 settings.balancing());
+        StoreClient store = StoreClient.create(() -> currentSettings.get().storeAddress(), STORE_TIMEOUT);
         FleetControl control = new FleetControl(
                 settings.daemon(),
                 new Peer(settings.failureDomain(), settings.peerAddress()),
                 settings.seeds(),
-                StoreClient.create(() -> currentSettings.get().storeAddress(), STORE_TIMEOUT),
+                store,
                 codec,
                 PromoteCall.create(
                         () -> currentSettings.get().promotionAddress(), settings.daemon(), PROMOTION_TIMEOUT),
@@ -101,7 +105,7 @@
                 settings.changeBound(),
                 settings.rateLimits().isPresent(),
                 proxy);
-        SessionDaemon daemon = new SessionDaemon(settings, currentSettings, loop, proxy, control);
+        SessionDaemon daemon = new SessionDaemon(settings, currentSettings, loop, proxy, store, control);
         Acceptor.acceptSessions(loop, settings.callerAddress(), proxy);
         Acceptor.acceptPeers(loop, settings.peerAddress(), proxy);
         Acceptor.acceptReadinessProbes(
@@ -116,8 +120,13 @@
     /** Stops the threads of the daemon without a drain. */
     void close() {
         loop.stop();
+        closeControl();
+    }
+
+    private void closeControl() {
         controlThread.interrupt();
         control.close();
+        store.close();
     }
 
     private static Thread startThread(String name, Runnable task) {
@@ -160,5 +169,7 @@
                     "[daemon] The traffic thread did not end within %d ms.",
                     schedule.end().toMillis());
         }
+        // The runtime delays its end by up to 300 ms for threads that are blocked in system calls.
+        closeControl();
     }
 }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FeedReader.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FeedReader.java
@@ -13,7 +13,7 @@
 import org.lavenderwick.core.time.MonotonicClock;
 
 /** The task of the thread that reads store changes from the feeds of other daemons, one feed at a time. */
-final class FeedReader implements Runnable {
+final class FeedReader implements Runnable, AutoCloseable {
 
     /** Time until the next look for a feed if there is none to read. */
     private static final Duration POLL_INTERVAL = Duration.ofMillis(100);
@@ -32,6 +32,7 @@
     private final LeaseConfirmations confirmations;
     private final MonotonicClock clock;
     private final Map<InetSocketAddress, Duration> notProbedUntil = new HashMap<>();
+    private volatile Optional<PeerFeed> current = Optional.empty();
 
     /**
      * Creates a reader.
@@ -69,12 +70,25 @@
         }
     }
 
+    /** Closes the feed that is being read, which an interrupt does not end. May be called from any thread. */
+    @Override
+    public void close() {
+        current.ifPresent(feed -> {
+            try {
+                feed.close();
+            } catch (IOException e) {
+                LOG.debugf("[fleet] Failed to close a feed: %s", e.getMessage());
+            }
+        });
+    }
+
     /** Reads a feed until it fails, is too old, or another feed is preferred. */
     private void read(InetSocketAddress source) {
         notProbedUntil.values().removeIf(until -> until.compareTo(clock.now()) <= 0);
         boolean probing = !notProbedUntil.containsKey(source);
         try (PeerFeed feed =
                 PeerFeed.open(source, inbox.revision(), probing, clock, decoder, confirmations::onConfirmed)) {
+            current = Optional.of(feed);
             confirmations.onFeedOpened(source, feed);
             while (inbox.isPreferredFeed(source) && !Thread.currentThread().isInterrupted()) {
                 if (!inbox.deliverFromFeed(source, feed.nextBatch(inbox.feedTimeout()))) {
@@ -96,6 +110,7 @@
             LOG.errorf(e, "[fleet] Reading the feed of %s failed unexpectedly; trying another one.", source);
             inbox.onFeedFailed(source);
         } finally {
+            current = Optional.empty();
             confirmations.onFeedClosed();
         }
     }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/FleetControl.java
@@ -80,6 +80,7 @@
     private final TrafficThread traffic;
     private final EvidenceRenewal renewal;
     private final FleetUpkeep upkeep;
+    private final FeedReader feedReader;
     private final Map<String, Runnable> tasks;
     private final List<Thread> threads = new ArrayList<>();
     private volatile FleetSnapshot published = FleetSnapshot.EMPTY;
@@ -152,9 +153,10 @@
                 limitsRates
                         ? Optional.of(new LimitClaims(daemon, store, clock, storeCache, traffic))
                         : Optional.empty());
+        this.feedReader = new FeedReader(self.address(), inbox, store::decode, confirmations, clock);
         this.tasks = Map.of(
                 "store", changeReader,
-                "feed", new FeedReader(self.address(), inbox, store::decode, confirmations, clock),
+                "feed", feedReader,
                 "evidence", renewal,
                 "upkeep", upkeep);
     }
@@ -168,9 +170,10 @@
         tasks.forEach((name, task) -> threads.add(starter.apply(name, task)));
     }
 
-    /** Interrupts the threads that read changes and make calls. */
+    /** Interrupts the threads that read changes and make calls, and closes the feed that is being read. */
     public void close() {
         threads.forEach(Thread::interrupt);
+        feedReader.close();
     }
 
     /** Returns whether this daemon has a configuration. May be called from any thread. */
