Answer a relayed request that crosses the close of its session

What callers saw: a request whose session was relayed, sent at the moment at which the owner of its group closed the idle session for a planned stop, found its connection closed without an answer. It had not run, but neither the relaying daemon nor the caller could know that, so a write was not repeated.

Cause: the owner closed the connection without a word, which looks the same as an owner that was lost with the request.

An owner now rejects what may be on its way before it closes an idle relayed session: it has read all that had arrived, and reads nothing after that, so the rejection is true. The relaying daemon completes it if a request is outstanding, and drops it otherwise.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerConnection.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerConnection.java
@@ -247,8 +247,11 @@
             openAtNextOwner();
             return;
         }
-        // Whether a running statement was executed is unknown here. Closing the connection without a response makes no
-        // claim about it.
+        if (relayedSession.isRejected()) {
+            newWriter().sendReady(SessionState.IDLE, Optional.empty());
+        }
+        // Otherwise it is unknown here whether a running statement was executed. Closing the connection without a
+        // response makes no claim about it.
         proxy.onSessionEnded(this);
         line.closeAfterSending();
     }
@@ -337,7 +340,7 @@
     void closeIfIdle(Duration idleTime) {
         line.readArrived();
         if (localSession != null) {
-            localSession.closeIfIdle(idleTime);
+            closeLocalIfIdle(idleTime);
         } else if ((relayedSession == null || !relayedSession.isBusy())
                 && loop.now().minus(lastActiveAt).compareTo(idleTime) >= 0) {
             endRelay();
@@ -345,6 +348,17 @@
         }
     }
 
+    private void closeLocalIfIdle(Duration idleTime) {
+        if (!localSession.isIdleFor(idleTime)) {
+            return;
+        }
+        if (relayedFromPeer) {
+            // A request that the other daemon has sent meanwhile is not read any more, so it does not run.
+            line.send(codec.error(StopFailures.OPERATION));
+        }
+        localSession.close();
+    }
+
     /** Rejects a statement that has not been sent to an endpoint; the owner of a relayed session decides for itself. */
     void rejectQueued() {
         if (localSession != null) {
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerSession.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/CallerSession.java
@@ -307,12 +307,11 @@
         }
     }
 
-    /** Closes the session if it has had neither a running statement nor a transaction for a time. */
-    void closeIfIdle(Duration idleTime) {
-        boolean isQuiet = loop.now().minus(lastActiveAt).compareTo(idleTime) >= 0;
-        if (current == null && transaction.isNone() && isQuiet) {
-            close();
-        }
+    /** Returns whether the session has had neither a running statement nor a transaction for a time. */
+    boolean isIdleFor(Duration idleTime) {
+        return current == null
+                && transaction.isNone()
+                && loop.now().minus(lastActiveAt).compareTo(idleTime) >= 0;
     }
 
     /** Rejects the statement in progress if it waits to be sent to an endpoint, because the daemon stops. */
@@ -379,7 +378,8 @@
         end();
     }
 
-    private void close() {
+    /** Ends the session and closes its connection once what is queued is sent. */
+    void close() {
         end();
         line.closeAfterSending();
     }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/RelayedSession.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/RelayedSession.java
@@ -47,6 +47,8 @@
     private boolean accepted;
     private boolean awaitingResponse = true;
     private boolean inTransaction;
+    private boolean opened;
+    private boolean rejected;
 
     RelayedSession(EndpointCodec codec, Listener listener) {
         this.codec = codec;
@@ -97,6 +99,14 @@
         return inTransaction;
     }
 
+    /**
+     * Returns whether the request in progress, which is not part of a transaction, was answered with an error, and only
+     * the line that ends the response is missing.
+     */
+    boolean isRejected() {
+        return rejected;
+    }
+
     /** Returns whether a response is outstanding or a transaction is open. */
     boolean isBusy() {
         return awaitingResponse || inTransaction;
@@ -122,10 +132,17 @@
                 return;
             }
             Either<Failure, EndpointMessage> message = codec.parse(line);
+            boolean isError = message.isRight() && message.get() instanceof EndpointMessage.Error;
+            if (isError && !awaitingResponse) {
+                // The owner stops and is about to close the idle session, which needs no response.
+                return;
+            }
+            rejected = isError && opened && !inTransaction;
             // Any response is forwarded to the caller, even an error. The session must not be opened at another
             // owner after that, since the caller would receive a second response.
             accepted = true;
             if (message.isRight() && message.get() instanceof EndpointMessage.Ready ready) {
+                opened = true;
                 awaitingResponse = false;
                 inTransaction = ready.state() != SessionState.IDLE;
             }
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionStopTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/SessionStopTest.java
@@ -194,5 +194,17 @@
             end(member);
             assertAnswered(sessions, SessionStopTest::isRejection);
         }
+
+        /** Guards against a request that crosses the close of its idle session and is cut as if it might have run. */
+        @Test
+        void ownerThatClosesAnIdleSessionRejectsWhatIsOnItsWay() throws Exception {
+            SessionFleet.Member member = fleet.members().get(0);
+            try (SessionClient relaying = SessionClient.connect(member.peerAddress())) {
+                relaying.send("CONNECT " + SessionFleet.DATABASE + " me RELAY 1 " + SessionFleet.GROUP);
+                assertThat(relaying.answer()).singleElement().asString().startsWith("READY ");
+                member.daemon().stop();
+                assertThat(relaying.answer().get(0)).matches(SessionStopTest::isRejection);
+            }
+        }
     }
 }
