Let the soak of arriving sessions run with any number of daemons

The soak stopped two or three of three daemons. A soak is also to be run with as many processes as the machine bears, where most daemons relay their sessions to the owners of a group; -Dsoak.arrivals.daemons sets the number now, and a series stops two daemons or more, up to all. The time between the signals is limited, so that a series with many daemons ends.

--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/ArrivalStopSoakTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/ArrivalStopSoakTest.java
@@ -26,13 +26,18 @@
  * not answer, against rejections as not run that are not true, and against sessions that are closed just before their
  * first request.
  *
- * <p>{@code -Dsoak.arrivals.seeds} sets the number of seeds, {@code -Dsoak.arrivals.seed} the first of them.
+ * <p>{@code -Dsoak.arrivals.seeds} sets the number of seeds, {@code -Dsoak.arrivals.seed} the first of them, and
+ * {@code -Dsoak.arrivals.daemons} the number of daemons.
  */
 class ArrivalStopSoakTest {
 
-    private static final int DAEMONS = 3;
+    private static final int DAEMONS = Integer.getInteger("soak.arrivals.daemons", 3);
     private static final int SERIES = 2;
     private static final int MAX_GAP_MILLIS = 2000;
+
+    /** Longest time from the first signal of a series to the last. */
+    private static final int MAX_SERIES_MILLIS = 6000;
+
     private static final int MAX_WORK_MILLIS = 30;
     private static final int STATEMENT_TIMEOUT_MILLIS = 2000;
 
@@ -118,14 +123,13 @@
         inRotation = List.copyOf(daemons);
     }
 
-    /** Stops two or three daemons, at once or one by one, and starts each again when it has ended. */
+    /** Stops two or more daemons, at once or one by one, and starts each again when it has ended. */
     private void stopAndStart(Random random) throws Exception {
         List<DaemonProcess> stopped = new ArrayList<>(daemons);
         Collections.shuffle(stopped, random);
-        if (random.nextBoolean()) {
-            stopped.remove(0);
-        }
-        int gapMillis = random.nextInt(3) == 0 ? 0 : random.nextInt(MAX_GAP_MILLIS);
+        stopped = stopped.subList(0, 2 + random.nextInt(DAEMONS - 1));
+        int maxGapMillis = Math.min(MAX_GAP_MILLIS, MAX_SERIES_MILLIS / stopped.size());
+        int gapMillis = random.nextInt(3) == 0 ? 0 : random.nextInt(maxGapMillis);
         List<Thread> stops = new ArrayList<>();
         for (DaemonProcess daemon : stopped) {
             int repeatAfterMillis = random.nextInt(3) == 0 ? random.nextInt(1000) : -1;
