Name what the end of a stop does, and keep broken-off calls out of the log

A method of GracefulStop that was named like a question accepted connections and closed the listening sockets; it is named for what it does now. A call to the store that the daemon breaks off itself at its end was logged as a store that does not respond, which misleads whoever reads the log of a stop; it is no longer logged.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/StoreChangeReader.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/fleet/StoreChangeReader.java
@@ -96,7 +96,8 @@
             }
         } else if (read.getLeft().kind() == ErrorKind.HISTORY_UNAVAILABLE) {
             historyLost = true;
-        } else {
+        } else if (!Thread.currentThread().isInterrupted()) {
+            // Otherwise the daemon has broken off the call itself.
             inbox.onStoreFailure(read.getLeft().detail());
         }
     }
--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GracefulStop.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/GracefulStop.java
@@ -72,7 +72,7 @@
             return;
         }
         drain.tick(now, sessions);
-        if (drain.isAtEnd(now) || (drain.mayEnd(now, lastArrivalAt) && !hasOpenSessions(sessions))) {
+        if (drain.isAtEnd(now) || (drain.mayEnd(now, lastArrivalAt) && closeIfUnused(sessions))) {
             LOG.infof(
                     "[daemon] Drain ended with %d open sessions, the last of which arrived %d ms ago; stopping.",
                     sessions.size(), now.minus(lastArrivalAt).toMillis());
@@ -81,15 +81,24 @@
         }
     }
 
-    /** Accepts what has arrived; if there is nothing to serve or send, closes the acceptors and returns false. */
-    private boolean hasOpenSessions(Collection<CallerConnection> sessions) {
-        if (sessions.isEmpty() && !loop.hasClosingConnections()) {
-            sessionAcceptors.forEach(Acceptor::acceptArrived);
+    /**
+     * Closes the listening sockets if no session is open, not even one that has just arrived, and every answer is sent.
+     *
+     * @return whether it did
+     */
+    private boolean closeIfUnused(Collection<CallerConnection> sessions) {
+        if (!isUnused(sessions)) {
+            return false;
         }
-        if (!sessions.isEmpty() || loop.hasClosingConnections()) {
-            return true;
+        sessionAcceptors.forEach(Acceptor::acceptArrived);
+        if (!isUnused(sessions)) {
+            return false;
         }
         sessionAcceptors.forEach(Acceptor::close);
-        return false;
+        return true;
+    }
+
+    private boolean isUnused(Collection<CallerConnection> sessions) {
+        return sessions.isEmpty() && !loop.hasClosingConnections();
     }
 }
