Test that a stop waits for the last answer and for the first line

Two parts of the decision to end had no test of their own. SessionProxyTest now has a caller that reads its answer of 1 MiB late: the event loop must not end before the answer is sent. The second test has a connection whose first line is sent after a tick of the stop: closed such a connection at once, as it had no idle time.

--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/SessionProxyTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/SessionProxyTest.java
@@ -2,8 +2,11 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.StandardSocketOptions;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -33,6 +36,9 @@
 
     private static final int TIMEOUT_SECONDS = 10;
 
+    /** Size of the socket buffers of a caller that is slow to read. */
+    private static final int SMALL_BUFFER_BYTES = 16 << 10;
+
     private final MonotonicClock clock = () -> Duration.ofNanos(System.nanoTime());
     private final AtomicReference<Duration> wallOffset = new AtomicReference<>(Duration.ZERO);
     private EventLoop loop;
@@ -93,6 +99,48 @@
     /** Guards against a planned stop that closes an idle session in whose socket a request is waiting. */
     @Test
     void requestThatHasArrivedIsAnsweredBeforeItsIdleSessionIsClosed() throws Exception {
+        assertAnsweredWhenClosedIfIdleFor(Duration.ZERO, true);
+    }
+
+    /** Guards against a planned stop that closes a connection whose first line is on its way. */
+    @Test
+    void connectionWithoutALineIsNotIdleAtOnce() throws Exception {
+        assertAnsweredWhenClosedIfIdleFor(Duration.ofMinutes(1), false);
+    }
+
+    /** Guards against an end of the daemon that loses an answer which the caller has not read yet. */
+    @Test
+    void daemonDoesNotEndBeforeTheLastAnswerIsSent() throws Exception {
+        String answer = "x".repeat(1 << 20);
+        StopSchedule schedule = StopSchedule.of(Duration.ofSeconds(6));
+        try (ServerSocketChannel front = ServerSocketChannel.open().bind(loopback());
+                Socket caller = new Socket()) {
+            caller.setReceiveBufferSize(SMALL_BUFFER_BYTES);
+            caller.connect(front.getLocalAddress());
+            SocketChannel accepted = front.accept().setOption(StandardSocketOptions.SO_SNDBUF, SMALL_BUFFER_BYTES);
+            inLoop(() -> {
+                CallerConnection session = proxy.newSession();
+                LineConnection line = LineConnection.accepted(loop, accepted, session);
+                session.attach(line);
+                line.send(answer);
+                line.closeAfterSending();
+                proxy.onSessionEnded(session);
+                proxy.startDrain(schedule);
+                return null;
+            });
+            // Beyond the time at which a daemon ends that has nothing to serve.
+            assertThat(loop.awaitEnd(schedule.lastOperation().plusMillis(500))).isFalse();
+            assertThat(caller.getInputStream().readAllBytes()).hasSize(answer.length() + "\r\n".length());
+            assertThat(loop.awaitEnd(Duration.ofSeconds(TIMEOUT_SECONDS))).isTrue();
+        }
+    }
+
+    private static InetSocketAddress loopback() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    }
+
+    /** Checks that a session answers its first line if it is closed as idle when the line was sent, or before. */
+    private void assertAnsweredWhenClosedIfIdleFor(Duration idleTime, boolean sentBefore) throws Exception {
         CountDownLatch sent = new CountDownLatch(1);
         CompletableFuture<Void> closed = new CompletableFuture<>();
         try (ServerSocket front = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
@@ -103,13 +151,18 @@
                     try {
                         CallerConnection session = proxy.newSession();
                         session.attach(LineConnection.accepted(loop, accepted, session));
-                        sent.await(TIMEOUT_SECONDS, TimeUnit.SECONDS);
-                        session.closeIfIdle(Duration.ZERO);
+                        if (sentBefore) {
+                            sent.await(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+                        }
+                        session.closeIfIdle(idleTime);
                         closed.complete(null);
                     } catch (IOException | InterruptedException e) {
                         closed.completeExceptionally(e);
                     }
                 });
+                if (!sentBefore) {
+                    closed.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+                }
                 peer.getOutputStream().write("CONNECT orders me\r\n".getBytes(StandardCharsets.US_ASCII));
                 sent.countDown();
                 closed.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
