Complete only rejections as not run when the owner of a session closes

What callers saw: after a statement of a relayed session whose key had been withdrawn, the error NOAUTH was followed by READY, although that error ends the session.

Cause: the relaying daemon completed every error that the owner had not followed with READY. An owner ends a session with such an error also when its key is withdrawn.

Only an error that says that the statement did not run because the owner is busy or stops is completed now, or dropped for a session without a request.

--- a/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/RelayedSession.java
+++ b/lavenderwick-daemon/src/main/java/org/lavenderwick/daemon/session/RelayedSession.java
@@ -7,6 +7,7 @@
 import io.vavr.control.Either;
 import org.jboss.logging.Logger;
 import org.lavenderwick.adapters.session.EndpointCodec;
+import org.lavenderwick.adapters.session.EndpointError;
 import org.lavenderwick.adapters.session.EndpointMessage;
 import org.lavenderwick.adapters.session.SessionState;
 import org.lavenderwick.core.error.Failure;
@@ -100,8 +101,8 @@
     }
 
     /**
-     * Returns whether the request in progress, which is not part of a transaction, was answered with an error, and only
-     * the line that ends the response is missing.
+     * Returns whether the request in progress, which is not part of a transaction, was rejected as not run because the
+     * owner is busy or stops, and only the line that ends the response is missing.
      */
     boolean isRejected() {
         return rejected;
@@ -132,12 +133,15 @@
                 return;
             }
             Either<Failure, EndpointMessage> message = codec.parse(line);
-            boolean isError = message.isRight() && message.get() instanceof EndpointMessage.Error;
-            if (isError && !awaitingResponse) {
+            boolean isRejection = message.isRight()
+                    && message.get() instanceof EndpointMessage.Error error
+                    && error.error() == EndpointError.OVERLOADED;
+            if (isRejection && !awaitingResponse) {
                 // The owner stops and is about to close the idle session, which needs no response.
                 return;
             }
-            rejected = isError && opened && !inTransaction;
+            // Another error without an end of the response ends the session by itself, such as that of a withdrawn key.
+            rejected = isRejection && opened && !inTransaction;
             // Any response is forwarded to the caller, even an error. The session must not be opened at another
             // owner after that, since the caller would receive a second response.
             accepted = true;
--- a/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/RelayedSessionTest.java
+++ b/lavenderwick-daemon/src/test/java/org/lavenderwick/daemon/session/RelayedSessionTest.java
@@ -125,6 +125,16 @@
             assertThat(nextEvent()).isEqualTo("lost, rejected: false");
         }
 
+        /** Guards against a line after the error with which a session ends because its key was withdrawn. */
+        @Test
+        void errorThatEndsTheSessionIsNotCompleted() throws Exception {
+            forwardRequest();
+            respond("ERROR NOAUTH the key gives no access");
+            owner.close();
+            assertThat(nextEvent()).startsWith("ERROR NOAUTH");
+            assertThat(nextEvent()).isEqualTo("lost, rejected: false");
+        }
+
         /** Guards against an idle state that is reported for a transaction which failed. */
         @Test
         void errorInATransactionIsNotCompleted() throws Exception {
